Lay out the modules, the shared types and the build

Cause: the repository was empty; the parts that follow need agreed types for stores, calls, links and settings, and a build that checks format and tests.

Weighed: one module for both node kinds, or one each. One each keeps the gateway free of the queue and the sidecar free of ownership. The configuration document has its own module because the daemon and the command-line tool both decode it and the library should not depend on a document parser.

Conclusion: the parts can be built side by side against these types.

--- /dev/null
+++ b/chestnutloom-config/src/main/kotlin/org/chestnutloom/config/DocumentFault.kt
@@ -0,0 +1,15 @@
+package org.chestnutloom.config
+
+/**
+ * One fault of an environment document.
+ *
+ * @property path the setting at fault, such as `accounts.ward-9.rate_per_second`
+ * @property line the line of the document, from 1, or null when the setting is missing
+ */
+public data class DocumentFault(
+    public val path: String,
+    public val line: Int?,
+    public val problem: String,
+) {
+    override fun toString(): String = "$path (line ${line ?: "none"}): $problem"
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/Peers.kt
@@ -0,0 +1,10 @@
+package org.chestnutloom.gateway.control
+
+import org.chestnutloom.id.GatewayId
+import org.chestnutloom.wire.link.PeerLink
+
+/** Knows the other gateways of the fleet. */
+public interface Peers {
+    /** Returns links to all other gateways that the platform lists as live. */
+    public fun all(): Map<GatewayId, PeerLink>
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/Probe.kt
@@ -0,0 +1,3 @@
+package org.chestnutloom
+
+internal object Probe
--- /dev/null
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarSettings.kt
@@ -0,0 +1,50 @@
+package org.chestnutloom.sidecar
+
+import org.chestnutloom.call.CallKind
+import org.chestnutloom.id.ModelName
+import org.chestnutloom.id.TargetId
+import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.wire.link.PeerAddress
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Settings of one sidecar process.
+ *
+ * @property target the target that the sidecar stands beside
+ * @property targetUrl where the target listens
+ * @property targetCredential what the sidecar shows to a target that checks who calls; null shows nothing
+ * @property models the models that the engine serves; empty for plain services
+ * @property services the plain services that the target runs; empty for engines
+ * @property maxRunning the most calls that run on the target at once
+ * @property gatewaySilence how long after a gateway's newest proof its queued calls may still start
+ * @property answerRetention how long an ended call's answer is kept when no gateway says that it is durable
+ * @property idRetention how long the ids of calls are remembered, so that none runs twice
+ * @property programRetention how long the engine keeps memory for a program that no gateway speaks of
+ */
+public data class SidecarSettings(
+    public val target: TargetId,
+    public val environment: String,
+    public val failureDomain: String,
+    public val link: PeerAddress,
+    public val kind: CallKind,
+    public val targetUrl: String,
+    public val targetCredential: String?,
+    public val models: List<ModelName>,
+    public val services: List<String>,
+    public val maxRunning: Int,
+    public val heartbeatInterval: Duration = 500.milliseconds,
+    public val linkSilence: Duration = 2.seconds,
+    public val gatewaySilence: Duration = 4.seconds,
+    public val answerRetention: Duration = 30.minutes,
+    public val idRetention: Duration = 60.minutes,
+    public val programRetention: Duration = 30.seconds,
+    public val cacheSweepInterval: Duration = 2.seconds,
+    public val loadReportInterval: Duration = 100.milliseconds,
+    public val stopTimeout: Duration = 60.seconds,
+    public val mechanisms: Mechanisms = Mechanisms.ALL,
+) {
+    override fun toString(): String = "SidecarSettings(target=$target, targetUrl=$targetUrl)"
+}
--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/CallEnded.kt
@@ -0,0 +1,24 @@
+package org.chestnutloom.wire.message
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.chestnutloom.call.Usage
+
+/**
+ * The whole answer came.
+ *
+ * @property status the target's HTTP status
+ * @property body the answer's body; for a streamed call the assembled completion
+ * @property chunks how many [CallChunk]s the whole answer has
+ * @property serviceMs time that the call ran at the target, in milliseconds
+ */
+@Serializable
+@SerialName("ended")
+public data class CallEnded(
+    public val status: Int,
+    public val contentType: String,
+    public val body: String,
+    public val chunks: Int,
+    public val usage: Usage,
+    public val serviceMs: Long,
+) : LinkReply
--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/CallRefused.kt
@@ -0,0 +1,12 @@
+package org.chestnutloom.wire.message
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.chestnutloom.call.Refusal
+
+/** The call has no whole answer; [refusal] says whether it ran. */
+@Serializable
+@SerialName("refused")
+public data class CallRefused(
+    public val refusal: Refusal,
+) : LinkReply
--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/EndProgram.kt
@@ -0,0 +1,12 @@
+package org.chestnutloom.wire.message
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.chestnutloom.id.ProgramId
+
+/** Tells a sidecar that a program is gone, so that the engine's memory for it is freed; the reply is one [Done]. */
+@Serializable
+@SerialName("end-program")
+public data class EndProgram(
+    public val program: ProgramId,
+) : LinkRequest
--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/ForgetCalls.kt
@@ -0,0 +1,12 @@
+package org.chestnutloom.wire.message
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.chestnutloom.id.CallId
+
+/** Tells a sidecar that the answers of ended calls are durable and need not be kept; the reply is one [Done]. */
+@Serializable
+@SerialName("forget")
+public data class ForgetCalls(
+    public val ids: List<CallId>,
+) : LinkRequest
--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/ForwardedAnswer.kt
@@ -0,0 +1,14 @@
+package org.chestnutloom.wire.message
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.chestnutloom.call.Refusal
+
+/** The end of a forwarded request: either [refusal], or [status] and [body]. */
+@Serializable
+@SerialName("forwarded-answer")
+public data class ForwardedAnswer(
+    public val status: Int,
+    public val body: String,
+    public val refusal: Refusal? = null,
+) : LinkReply
--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/ProbeStore.kt
@@ -0,0 +1,9 @@
+package org.chestnutloom.wire.message
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Asks a peer gateway whether it reaches the table service; the reply is one [StoreView]. */
+@Serializable
+@SerialName("probe-store")
+public data object ProbeStore : LinkRequest
--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/RightsMoved.kt
@@ -0,0 +1,13 @@
+package org.chestnutloom.wire.message
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.chestnutloom.id.ClientAccountId
+
+/** Tokens that the sender has already deducted from its own bucket; a lost message loses them. */
+@Serializable
+@SerialName("rights-moved")
+public data class RightsMoved(
+    public val account: ClientAccountId,
+    public val milliTokens: Long,
+) : LinkReply
--- /dev/null
+++ b/chestnutloom/src/main/kotlin/org/chestnutloom/config/ConfigHead.kt
@@ -0,0 +1,20 @@
+package org.chestnutloom.config
+
+import kotlinx.serialization.Serializable
+
+/**
+ * The row `head/{environment}`, which gateways read each second.
+ *
+ * @property configVersion the newest accepted or pending configuration version; 0 when there is none
+ * @property keyVersion the number of key changes so far
+ */
+@Serializable
+public data class ConfigHead(
+    public val configVersion: Long,
+    public val keyVersion: Long,
+) {
+    public companion object {
+        /** Returns the key of the head row of [environment]. */
+        public fun rowKey(environment: String): String = "head/$environment"
+    }
+}
--- /dev/null
+++ b/chestnutloom/src/main/kotlin/org/chestnutloom/id/ClientAccountId.kt
@@ -0,0 +1,12 @@
+package org.chestnutloom.id
+
+import kotlinx.serialization.Serializable
+
+/** Names one client account within an environment. */
+@JvmInline
+@Serializable
+public value class ClientAccountId(
+    public val value: String,
+) {
+    override fun toString(): String = value
+}
--- /dev/null
+++ b/chestnutloom/src/main/kotlin/org/chestnutloom/store/Row.kt
@@ -0,0 +1,17 @@
+package org.chestnutloom.store
+
+import kotlinx.serialization.Serializable
+
+/**
+ * One row of the table service.
+ *
+ * @property key the row's unique key, such as `program/p1`
+ * @property version grows with each write of the row; 0 is never used by an existing row
+ * @property value the row's content, JSON text
+ */
+@Serializable
+public data class Row(
+    public val key: String,
+    public val version: Long,
+    public val value: String,
+)
--- /dev/null
+++ b/chestnutloom/src/main/kotlin/org/chestnutloom/time/SystemClock.kt
@@ -0,0 +1,14 @@
+package org.chestnutloom.time
+
+import java.time.Instant
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+
+/** Returns the clock of this VM. */
+public fun systemClock(): Clock = SystemClock
+
+private object SystemClock : Clock {
+    override fun now(): Instant = Instant.now()
+
+    override fun elapsed(): Duration = System.nanoTime().nanoseconds
+}
