--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/caller/CallerError.kt
@@ -0,0 +1,12 @@
+package org.chestnutloom.integration.caller
+
+/**
+ * The typed error of a refused request.
+ *
+ * @property execution `not_run`, `ran` or `unknown`
+ */
+data class CallerError(
+    val code: String,
+    val execution: String,
+    val message: String,
+)
