--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/AccountLimits.kt
@@ -0,0 +1,17 @@
+package org.chestnutloom.gateway.control
+
+import org.chestnutloom.id.ClientAccountId
+import org.chestnutloom.rate.RateLimit
+
+/** Looks up rate limits in the configuration in force. */
+internal class AccountLimits(
+    private val source: SettingsSource,
+) {
+    /** Returns the limit of [account], or null when the configuration does not have the account. */
+    fun of(account: ClientAccountId): RateLimit? =
+        source.current.value
+            ?.settings
+            ?.accounts
+            ?.get(account)
+            ?.let { RateLimit(it.ratePerSecond, it.burst) }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/ControlPlaneFactory.kt
@@ -0,0 +1,31 @@
+package org.chestnutloom.gateway.control
+
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import org.chestnutloom.config.DocumentDecoder
+import org.chestnutloom.gateway.GatewaySettings
+import org.chestnutloom.id.Incarnation
+import org.chestnutloom.store.ObjectStore
+import org.chestnutloom.store.TableStore
+import org.chestnutloom.store.VmList
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.link.PeerAddress
+import org.chestnutloom.wire.link.PeerLink
+
+/** Returns the control plane of one gateway process, whose run is named by [incarnation]; [linkFactory] makes links. */
+public fun controlPlane(
+    settings: GatewaySettings,
+    incarnation: Incarnation,
+    clock: Clock,
+    metrics: MeterRegistry,
+    scope: CoroutineScope,
+    table: TableStore,
+    objects: ObjectStore,
+    vms: VmList,
+    decoder: DocumentDecoder,
+    linkFactory: (address: PeerAddress, expectedId: String) -> PeerLink,
+): ControlPlane {
+    val platform = ControlPlatform(table, objects, vms, decoder, linkFactory)
+    val parts = ControlParts(settings, incarnation, clock, scope, platform)
+    return GatewayControlPlane(settings, metrics, scope, OwnAddress(), parts)
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/EscrowAdmission.kt
@@ -0,0 +1,154 @@
+package org.chestnutloom.gateway.control
+
+import arrow.core.Either
+import arrow.core.raise.either
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.withLock
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.gateway.GatewaySettings
+import org.chestnutloom.id.ClientAccountId
+import org.chestnutloom.id.GatewayId
+import org.chestnutloom.lease.GatewayLease
+import org.chestnutloom.platform.log.warnEvent
+import org.chestnutloom.rate.RateLimit
+import org.chestnutloom.rate.RightsHolder
+import org.chestnutloom.rate.heldRights
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.message.RequestRights
+import org.chestnutloom.wire.message.RightsMoved
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Admits requests by the rate rights that this gateway holds, and borrows tokens from other gateways when short. */
+internal class EscrowAdmission(
+    private val settings: GatewaySettings,
+    private val clock: Clock,
+    private val lease: GatewayLease,
+    private val proof: ProofKeeper,
+    private val limits: AccountLimits,
+    private val rows: RightsTable,
+    private val borrower: TokenBorrower,
+    private val balancer: ShareBalancer,
+) : RateControl {
+    private val accounts = ConcurrentHashMap<ClientAccountId, AccountRights>()
+
+    @Volatile
+    private var isLending = true
+
+    override suspend fun admit(account: ClientAccountId): Either<Refusal, Unit> =
+        either {
+            proof.check().bind()
+            val limit = limits.of(account) ?: raise(ControlRefusals.unauthorized("The client account does not exist."))
+            val rights = rightsOf(account, limit) ?: raise(ControlRefusals.stale("The gateway holds no lease."))
+            rights.held.changeLimit(limit)
+            rights.ownDemand.incrementAndGet()
+            if (rights.record == null) load(rights, limit)
+            if (!spend(rights) && !spendAfterHelp(rights)) {
+                proof.check().bind()
+                raise(ControlRefusals.rateLimited(retryAfterMs(rights, limit)))
+            }
+        }
+
+    /** Lends tokens to gateway [peer], and deducts them here first. */
+    override fun lend(
+        peer: GatewayId,
+        request: RequestRights,
+    ): RightsMoved {
+        val rights = accounts[request.account]
+        if (rights == null || !isLending || !maySpend(rights)) return RightsMoved(request.account, 0)
+        rights.peerDemand.merge(peer, 1L, Long::plus)
+        return RightsMoved(request.account, rights.held.lend(request.wantedMilliTokens, LoanTerms.lenderValidity))
+    }
+
+    override suspend fun maintain() {
+        for (rights in accounts.values) {
+            val limit = limits.of(rights.account) ?: continue
+            rights.held.changeLimit(limit)
+            val isShort = rights.shortages.getAndSet(0) > 0
+            if (isShort) load(rights, limit) else balancer.rebalance(rights)
+            balancer.forgetDemand(rights)
+        }
+    }
+
+    override suspend fun releaseAll() {
+        isLending = false
+        delay(LoanTerms.lenderValidity)
+        accounts.values.forEach { rights -> rows.release(rights).onLeft { warn("rights_not_released", rights, it) } }
+    }
+
+    override fun reset() {
+        accounts.clear()
+    }
+
+    private fun rightsOf(
+        account: ClientAccountId,
+        limit: RateLimit,
+    ): AccountRights? {
+        accounts[account]?.let { return it }
+        val incarnation = lease.record?.incarnation ?: return null
+        val holder = RightsHolder(settings.id, incarnation)
+        return accounts.computeIfAbsent(account) { AccountRights(account, heldRights(clock, holder, limit)) }
+    }
+
+    private fun retryAfterMs(
+        rights: AccountRights,
+        limit: RateLimit,
+    ): Long {
+        val wait = rights.held.timeUntilNextRequest() ?: (1.seconds / limit.ratePerSecond)
+        return wait.inWholeMilliseconds + 1
+    }
+
+    private suspend fun load(
+        rights: AccountRights,
+        limit: RateLimit,
+    ) {
+        rows.refresh(rights, limit).onLeft { warn("rights_not_read", rights, it) }
+    }
+
+    private suspend fun spendAfterHelp(rights: AccountRights): Boolean {
+        rights.shortages.incrementAndGet()
+        rights.waiting.incrementAndGet()
+        try {
+            return spendBorrowed(rights) || spendAfterWait(rights)
+        } finally {
+            rights.waiting.decrementAndGet()
+        }
+    }
+
+    private suspend fun spendBorrowed(rights: AccountRights): Boolean =
+        rights.borrowMutex.withLock {
+            if (spend(rights)) return true
+            borrower.borrow(rights)
+            spend(rights)
+        }
+
+    /** Waits for the next token if it accrues very soon. */
+    private suspend fun spendAfterWait(rights: AccountRights): Boolean {
+        val wait = rights.held.timeUntilNextRequest() ?: return false
+        if (wait > maxWait) return false
+        delay(wait + 1.milliseconds)
+        return spend(rights)
+    }
+
+    private fun spend(rights: AccountRights): Boolean = maySpend(rights) && rights.held.trySpend()
+
+    /** Checks the proof right before each spending, and that the rights are of the lease that is held now. */
+    private fun maySpend(rights: AccountRights): Boolean =
+        proof.check().isRight() && rights.held.holder.incarnation == lease.record?.incarnation
+
+    private fun warn(
+        event: String,
+        rights: AccountRights,
+        cause: Any,
+    ) {
+        logger.warnEvent(event, "account" to rights.account, "cause" to cause)
+    }
+
+    private companion object {
+        val maxWait = 100.milliseconds
+    }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/FleetDirectory.kt
@@ -0,0 +1,144 @@
+package org.chestnutloom.gateway.control
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.chestnutloom.gateway.GatewaySettings
+import org.chestnutloom.id.GatewayId
+import org.chestnutloom.lease.LeaseRecord
+import org.chestnutloom.lease.LeaseState
+import org.chestnutloom.platform.log.warnEvent
+import org.chestnutloom.rate.RightsHolder
+import org.chestnutloom.store.Row
+import org.chestnutloom.store.VmEntry
+import org.chestnutloom.store.VmList
+import org.chestnutloom.store.VmRole
+import org.chestnutloom.store.VmState
+import org.chestnutloom.store.decodeOrNull
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.link.PeerAddress
+import org.chestnutloom.wire.link.PeerLink
+import kotlin.time.Duration
+
+private val logger = KotlinLogging.logger {}
+
+/** Knows the fleet from the VM list, the lease rows and the drain rows, as each was last read. */
+internal class FleetDirectory(
+    private val settings: GatewaySettings,
+    private val clock: Clock,
+    private val vms: VmList,
+    private val scope: CoroutineScope,
+    private val linkFactory: (PeerAddress, String) -> PeerLink,
+) : Peers,
+    TargetDirectory {
+    private val links = mutableMapOf<GatewayId, PeerLink>()
+
+    @Volatile
+    private var listed: List<VmEntry> = emptyList()
+
+    @Volatile
+    private var drained: Set<String> = emptySet()
+
+    /** The lease rows of all gateways by id, this one's included. */
+    @Volatile
+    var leases: Map<GatewayId, LeaseRow> = emptyMap()
+        private set
+
+    /** When the newest read of the lease rows was sent, or null before the first. */
+    @Volatile
+    var leasesReadAt: Duration? = null
+        private set
+
+    /** Whether the VM list shows this gateway, so that others can know of it. */
+    val isListed: Boolean
+        get() = listed.any { it.role == VmRole.GATEWAY && it.id == settings.id.value }
+
+    override fun all(): Map<GatewayId, PeerLink> = addresses().mapValues { (id, address) -> linkTo(id, address) }
+
+    override fun targets(): List<VmEntry> =
+        listed
+            .filter { it.role == VmRole.TARGET }
+            .map { if (it.id in drained) it.copy(state = VmState.LEAVING) else it }
+
+    /** Returns the link to gateway [id], or null when its address is not known. */
+    fun link(id: GatewayId): PeerLink? = addresses()[id]?.let { linkTo(id, it) }
+
+    /** Reads the VM list; after a failure the list read before stays in use. */
+    suspend fun readVmList() {
+        vms.read().fold(
+            { logger.warnEvent("vm_list_unavailable", "detail" to it) },
+            { listed = it },
+        )
+    }
+
+    /** Takes note of the lease rows that a read sent at [startedAt] returned. */
+    fun observeLeases(
+        rows: List<Row>,
+        startedAt: Duration,
+    ) {
+        val now = clock.elapsed()
+        val known = leases
+        leases = rows.mapNotNull { leaseRow(it, known, now) }.associateBy { it.record.id }
+        leasesReadAt = startedAt
+    }
+
+    /** Takes note of the ids of targets that operators drain. */
+    fun observeDrains(targetIds: Set<String>) {
+        drained = targetIds
+    }
+
+    /** Tells whether the lease that [holder] names is over; [holder] must have been read before the lease rows were. */
+    fun isGone(holder: RightsHolder): Boolean {
+        val record = leases[holder.gateway]?.record ?: return false
+        return record.incarnation != holder.incarnation || record.state == LeaseState.FENCED
+    }
+
+    /** Returns the other gateways that are active and were seen to renew their lease of late. */
+    fun steadyPeers(): Set<GatewayId> {
+        val now = clock.elapsed()
+        val recent = settings.renewInterval * RECENT_RENEWALS
+        return leases.values
+            .filter { it.record.id != settings.id && it.record.state == LeaseState.ACTIVE }
+            .filter { now - it.changedAt <= recent }
+            .map { it.record.id }
+            .toSet()
+    }
+
+    private fun leaseRow(
+        row: Row,
+        known: Map<GatewayId, LeaseRow>,
+        now: Duration,
+    ): LeaseRow? {
+        val record = row.decodeOrNull<LeaseRecord>() ?: return null
+        val before = known[record.id]?.takeIf { it.row.version == row.version }
+        return before ?: LeaseRow(row, record, now)
+    }
+
+    private fun addresses(): Map<GatewayId, PeerAddress> {
+        val fromList =
+            listed
+                .filter { it.role == VmRole.GATEWAY }
+                .associate { GatewayId(it.id) to PeerAddress(it.host, it.port) }
+        val fromLeases =
+            leases.values
+                .map { it.record }
+                .filter { it.state != LeaseState.FENCED }
+                .associate { it.id to PeerAddress(it.host, it.port) }
+        return fromList + fromLeases - settings.id
+    }
+
+    private fun linkTo(
+        id: GatewayId,
+        address: PeerAddress,
+    ): PeerLink =
+        synchronized(links) {
+            val old = links[id]
+            if (old != null && old.address == address) return old
+            if (old != null) scope.launch { old.close() }
+            linkFactory(address, id.value).also { links[id] = it }
+        }
+
+    private companion object {
+        const val RECENT_RENEWALS = 3
+    }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/OwnAddress.kt
@@ -0,0 +1,17 @@
+package org.chestnutloom.gateway.control
+
+import org.chestnutloom.lease.LeaseRecord
+import org.chestnutloom.wire.link.PeerAddress
+
+/** The address for links to this gateway, which is known once its server listens. */
+internal class OwnAddress {
+    @Volatile
+    private var address: PeerAddress? = null
+
+    fun set(newAddress: PeerAddress) {
+        address = newAddress
+    }
+
+    fun applyTo(record: LeaseRecord): LeaseRecord =
+        address?.let { record.copy(host = it.host, port = it.port) } ?: record
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/RightsTable.kt
@@ -0,0 +1,121 @@
+package org.chestnutloom.gateway.control
+
+import arrow.core.Either
+import arrow.core.raise.either
+import kotlinx.coroutines.sync.withLock
+import org.chestnutloom.gateway.GatewaySettings
+import org.chestnutloom.lease.GatewayLease
+import org.chestnutloom.lease.LeaseFailure
+import org.chestnutloom.lease.LeaseRecord
+import org.chestnutloom.lease.LeaseState
+import org.chestnutloom.rate.RateLimit
+import org.chestnutloom.rate.RightsHolder
+import org.chestnutloom.rate.RightsRecord
+import org.chestnutloom.store.Condition
+import org.chestnutloom.store.Row
+import org.chestnutloom.store.RowWrite
+import org.chestnutloom.store.TableStore
+import org.chestnutloom.store.decodeOrNull
+import org.chestnutloom.store.rowJson
+
+/** Reads and changes rights rows, under this gateway's lease. */
+internal class RightsTable(
+    private val settings: GatewaySettings,
+    private val lease: GatewayLease,
+    private val table: TableStore,
+    private val fleet: FleetDirectory,
+) {
+    /** Reads the row, claims what nobody holds, and puts the result in force. */
+    suspend fun refresh(
+        rights: AccountRights,
+        limit: RateLimit,
+    ): Either<LeaseFailure, Unit> =
+        rights.rowMutex.withLock {
+            either {
+                val row = read(rights).bind()
+                val record = row?.decodeOrNull<RightsRecord>() ?: RightsRecord.unused(limit)
+                val gone = goneHolders(record).bind()
+                val claimed = record.claimedBy(rights.held.holder, limit) { it in gone }
+                if (claimed == record && row != null) {
+                    adopt(rights, record, row.version)
+                } else {
+                    write(rights, row?.version ?: Condition.ABSENT, claimed).bind()
+                }
+            }
+        }
+
+    /** Moves [permille] of this gateway's share to [receiver]; does nothing when that is not possible now. */
+    suspend fun give(
+        rights: AccountRights,
+        receiver: RightsHolder,
+        permille: Int,
+    ): Either<LeaseFailure, Unit> =
+        rights.rowMutex.withLock {
+            either {
+                val row = read(rights).bind() ?: return@either
+                val record = row.decodeOrNull<RightsRecord>() ?: return@either
+                adopt(rights, record, row.version)
+                val setAside = rights.held.setAside(permille) ?: return@either
+                val moved = record.moved(rights.held.holder, receiver, setAside.sharePermille, setAside.milliTokens)
+                write(rights, row.version, moved).onLeft { rights.held.restore(setAside) }.bind()
+            }
+        }
+
+    /** Returns this gateway's whole share with its tokens to the pool. */
+    suspend fun release(rights: AccountRights): Either<LeaseFailure, Unit> =
+        rights.rowMutex.withLock {
+            either {
+                val row = read(rights).bind() ?: return@either
+                val record = row.decodeOrNull<RightsRecord>() ?: return@either
+                adopt(rights, record, row.version)
+                val setAside = rights.held.setAside(rights.held.sharePermille) ?: return@either
+                val released = record.releasedBy(rights.held.holder, setAside.milliTokens)
+                write(rights, row.version, released).onLeft { rights.held.restore(setAside) }.bind()
+            }
+        }
+
+    private suspend fun read(rights: AccountRights): Either<LeaseFailure, Row?> =
+        table
+            .read(listOf(rowKey(rights)))
+            .map { it.firstOrNull() }
+            .mapLeft { LeaseFailure.StoreDown(it.toString()) }
+
+    /** Returns the holders whose lease is over, by their lease rows as they are after the record was read. */
+    private suspend fun goneHolders(record: RightsRecord): Either<LeaseFailure, Set<RightsHolder>> =
+        either {
+            val suspects = record.holdings.map { it.holder }.filter { fleet.isGone(it) }
+            if (suspects.isEmpty()) return@either emptySet()
+            val keys = suspects.map { LeaseRecord.rowKey(settings.environment, it.gateway) }.distinct()
+            val rows = table.read(keys).mapLeft { LeaseFailure.StoreDown(it.toString()) }.bind()
+            val leases = rows.mapNotNull { it.decodeOrNull<LeaseRecord>() }.associateBy { it.id }
+            suspects.filter { holder -> leases[holder.gateway]?.let { isOver(holder, it) } ?: false }.toSet()
+        }
+
+    private fun isOver(
+        holder: RightsHolder,
+        current: LeaseRecord,
+    ): Boolean = current.incarnation != holder.incarnation || current.state == LeaseState.FENCED
+
+    private suspend fun write(
+        rights: AccountRights,
+        version: Long,
+        record: RightsRecord,
+    ): Either<LeaseFailure, Unit> {
+        val key = rowKey(rights)
+        val writes = listOf(RowWrite(key, rowJson.encodeToString(record)))
+        return lease.write(listOf(Condition(key, version)), writes).map { rows ->
+            adopt(rights, record, rows.first { it.key == key }.version)
+        }
+    }
+
+    private fun adopt(
+        rights: AccountRights,
+        record: RightsRecord,
+        version: Long,
+    ) {
+        rights.record = record
+        rights.held.apply(record, version)
+    }
+
+    private fun rowKey(rights: AccountRights): String = RightsRecord.rowKey(settings.environment, rights.account)
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/SlotKeeper.kt
@@ -0,0 +1,182 @@
+package org.chestnutloom.gateway.control
+
+import arrow.core.Either
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.gateway.GatewaySettings
+import org.chestnutloom.id.GatewayId
+import org.chestnutloom.id.Incarnation
+import org.chestnutloom.id.ProgramId
+import org.chestnutloom.lease.GatewayLease
+import org.chestnutloom.lease.LeaseFailure
+import org.chestnutloom.membership.SlotRecord
+import org.chestnutloom.membership.preferredOwner
+import org.chestnutloom.membership.slotOf
+import org.chestnutloom.platform.log.event
+import org.chestnutloom.platform.log.warnEvent
+import org.chestnutloom.store.Condition
+import org.chestnutloom.store.Row
+import org.chestnutloom.store.RowWrite
+import org.chestnutloom.store.TableStore
+import org.chestnutloom.store.rowJson
+import org.chestnutloom.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Claims slots, hands idle ones over to their preferred owner, and finds the owner of a program. */
+internal class SlotKeeper(
+    private val settings: GatewaySettings,
+    private val clock: Clock,
+    private val lease: GatewayLease,
+    private val proof: CurrencyProof,
+    private val fleet: FleetDirectory,
+    private val table: TableStore,
+    private val slots: SlotTable,
+) : OwnershipTable {
+    private val claims = Mutex()
+
+    @Volatile
+    private var isStopping = false
+
+    override suspend fun locate(program: ProgramId): ProgramLocation {
+        proof.check().onLeft { return ProgramLocation.Unavailable(it) }
+        val slot = slotOf(program, settings.slots)
+        if (needsReading(slot)) reread(slot).onLeft { return ProgramLocation.Unavailable(it) }
+        if (slots.isFree(slot) && !isStopping) claim(listOf(slot))
+        return known(slot)
+    }
+
+    override suspend fun relocate(program: ProgramId): ProgramLocation {
+        reread(slotOf(program, settings.slots))
+        return locate(program)
+    }
+
+    override fun enter(program: ProgramId) {
+        slots.enter(slotOf(program, settings.slots))
+    }
+
+    override fun leave(program: ProgramId) {
+        slots.leave(slotOf(program, settings.slots))
+    }
+
+    /** Claims the free slots that this gateway should own, and all those whose owner's lease is over. */
+    suspend fun claimFree() {
+        if (isStopping || lease.record == null) return
+        val members = fleet.steadyPeers() + settings.id
+        val wanted = slots.indices.filter { slots.isFree(it) && shouldClaim(it, members) }
+        if (wanted.isNotEmpty()) claim(wanted)
+    }
+
+    /** Hands slots with nothing under way to their preferred owners; [hasPending] tells of changes not yet durable. */
+    suspend fun handOver(hasPending: (Int) -> Boolean) {
+        val members = fleet.steadyPeers() + settings.id
+        val moves =
+            slots
+                .ownedSlots()
+                .associateWith { preferredOwner(it, members) }
+                .filterValues { it != null && it != settings.id }
+        give(moves, hasPending)
+    }
+
+    /** Releases all slots in a planned stop, so that others take them at once. */
+    suspend fun releaseAll() {
+        isStopping = true
+        val owned = slots.ownedSlots()
+        give(owned.associateWith { null }) { false }
+    }
+
+    /** Stops this gateway from claiming slots. */
+    fun stopClaiming() {
+        isStopping = true
+    }
+
+    private fun shouldClaim(
+        slot: Int,
+        members: Set<GatewayId>,
+    ): Boolean {
+        val hadOwner = slots.view(slot)?.record?.owner != null
+        return hadOwner || preferredOwner(slot, members) == settings.id
+    }
+
+    private fun known(slot: Int): ProgramLocation {
+        slots.ownEpoch(slot)?.let { return ProgramLocation.Here(it) }
+        val owner = slots.view(slot)?.record?.owner
+        val link = if (owner == null || owner == settings.id) null else fleet.link(owner)
+        if (link != null) return ProgramLocation.Elsewhere(link)
+        return ProgramLocation.Unavailable(ControlRefusals.stale("No gateway owns the program for now."))
+    }
+
+    /** Tells whether the slot's row may have changed to name this gateway, or was never read. */
+    private fun needsReading(slot: Int): Boolean {
+        val view = slots.view(slot) ?: return true
+        if (slots.ownEpoch(slot) != null) return false
+        val isOld = clock.elapsed() - view.readAt > minReadInterval
+        return isOld && preferredOwner(slot, fleet.steadyPeers() + settings.id) == settings.id
+    }
+
+    private suspend fun reread(slot: Int): Either<Refusal, Unit> =
+        table
+            .read(listOf(SlotRecord.rowKey(settings.environment, slot)))
+            .map { slots.observe(slot, it.firstOrNull()) }
+            .mapLeft { ControlRefusals.storeUnavailable("The owner of the program cannot be read.") }
+
+    private suspend fun claim(wanted: List<Int>) {
+        claims.withLock {
+            val free = wanted.filter { slots.isFree(it) }
+            val incarnation = lease.record?.incarnation
+            if (free.isEmpty() || incarnation == null) return
+            val result = writeOwners(free.associateWith { SlotOwner(settings.id, incarnation) })
+            result.onRight { logger.event("slots_claimed", "slots" to free.size, "first" to free.first()) }
+        }
+    }
+
+    private suspend fun give(
+        moves: Map<Int, GatewayId?>,
+        hasPending: (Int) -> Boolean,
+    ) {
+        claims.withLock {
+            val closed = moves.filterKeys { slots.close(it) }
+            val ready = closed.filterKeys { !hasPending(it) }
+            (closed - ready.keys).keys.forEach(slots::reopen)
+            val owners = ready.mapValues { (_, to) -> to?.let(::activeOwner) }
+            if (owners.isNotEmpty()) {
+                writeOwners(owners).onRight { logger.event("slots_handed_over", "slots" to owners.size) }
+            }
+            ready.keys.forEach(slots::reopen)
+        }
+    }
+
+    private fun activeOwner(id: GatewayId): SlotOwner? = fleet.leases[id]?.let { SlotOwner(id, it.record.incarnation) }
+
+    private suspend fun writeOwners(owners: Map<Int, SlotOwner?>): Either<LeaseFailure, List<Row>> {
+        val views = owners.keys.associateWith { slots.view(it) }
+        val conditions = views.map { (slot, view) -> Condition(rowKey(slot), view?.version ?: Condition.ABSENT) }
+        val writes =
+            owners.map { (slot, owner) ->
+                val epoch = (views[slot]?.record?.epoch ?: 0) + 1
+                val record = SlotRecord(owner?.id, owner?.incarnation, epoch)
+                RowWrite(rowKey(slot), rowJson.encodeToString(record))
+            }
+        val result = lease.write(conditions, writes)
+        result.onRight(slots::observeSome)
+        result.onLeft { failure ->
+            if (failure is LeaseFailure.Conflict) slots.observeSome(failure.current)
+            logger.warnEvent("slots_not_written", "slots" to owners.size, "cause" to failure)
+        }
+        return result
+    }
+
+    private fun rowKey(slot: Int): String = SlotRecord.rowKey(settings.environment, slot)
+
+    private data class SlotOwner(
+        val id: GatewayId,
+        val incarnation: Incarnation,
+    )
+
+    private companion object {
+        val minReadInterval = 100.milliseconds
+    }
+}
--- /dev/null
+++ b/chestnutloom/src/main/kotlin/org/chestnutloom/membership/Rendezvous.kt
@@ -0,0 +1,35 @@
+package org.chestnutloom.membership
+
+import org.chestnutloom.id.GatewayId
+import org.chestnutloom.id.ProgramId
+
+/** Returns the slot of [program] among [slots] slots; a sub-agent has its root program's slot. */
+public fun slotOf(
+    program: ProgramId,
+    slots: Int,
+): Int = Math.floorMod(mix(program.root), slots.toLong()).toInt()
+
+/**
+ * Returns the gateway that should own [slot] by highest-random-weight hashing, or null without [members].
+ *
+ * When a member joins or leaves, only the slots that it gains or loses move.
+ */
+public fun preferredOwner(
+    slot: Int,
+    members: Collection<GatewayId>,
+): GatewayId? = members.maxWithOrNull(compareBy<GatewayId> { mix("${it.value}/$slot") }.thenBy { it.value })
+
+/** Returns a 64-bit hash of [text] (FNV-1a with a final avalanche step). */
+private fun mix(text: String): Long {
+    var hash = FNV_OFFSET
+    for (byte in text.encodeToByteArray()) {
+        hash = (hash xor byte.toLong()) * FNV_PRIME
+    }
+    hash = (hash xor (hash ushr AVALANCHE_SHIFT)) * AVALANCHE_FACTOR
+    return hash xor (hash ushr AVALANCHE_SHIFT)
+}
+
+private const val FNV_OFFSET = -0x340d631b7bdddcdbL
+private const val FNV_PRIME = 0x100000001b3L
+private const val AVALANCHE_FACTOR = -0xae502812aa7333L
+private const val AVALANCHE_SHIFT = 33
