Make the control plane pass its specification

Cause: the hang was in the specification: the processes' scopes were not children of the test's background scope. Found by it: after one failed commit every later commit failed, as nothing tried the store again; and peers kept sending requests to a stopped gateway until their next read. Ruled out: a loop in the library; the stack showed only the test's own background loops.

--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/ControlParts.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/ControlParts.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
 import org.chestnutloom.gateway.GatewaySettings
 import org.chestnutloom.id.Incarnation
 import org.chestnutloom.lease.LeaseOptions
@@ -11,6 +12,7 @@
 import org.chestnutloom.rate.RatePolicy
 import org.chestnutloom.rate.WHOLE_SHARE_PERMILLE
 import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.message.NoticeVersions
 
 /** Builds and holds the parts of one control plane, which share one lease. */
 internal class ControlParts(
@@ -41,10 +43,19 @@
     val watcher = FleetWatcher(settings, clock, lease, proof, fleet, platform.table, slots)
     val documents = SettingsKeeper(settings, platform.table, platform.decoder)
     val keys = KeyCache(settings, clock, platform.table, proof, documents)
-    val head =
-        HeadWatcher(settings, clock, platform.table, lease, proof, fleet, documents, keys, scope) {
-            renewals.trySend(Unit)
-        }
+    private val notifier = PeerNotifier(settings, fleet)
+    val head: HeadWatcher =
+        HeadWatcher(
+            settings,
+            clock,
+            platform.table,
+            lease,
+            proof,
+            documents,
+            keys,
+            onNewVersions = { scope.launch { tellPeers() } },
+            onUnacknowledged = { renewals.trySend(Unit) },
+        )
     val prober = OutageProber(settings, clock, proof, fleet, head)
     private val segments = SegmentStore(settings, platform.objects)
     val journal =
@@ -67,4 +78,9 @@
                 EscrowAdmission(settings, clock, lease, proof, limits, rights, borrower, balancer)
             }
         }
+
+    /** Tells the other gateways to read the rows that changed. */
+    suspend fun tellPeers() {
+        notifier.tellAll(NoticeVersions(head.configVersion, head.keyVersion))
+    }
 }
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/GatewayControlPlane.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/GatewayControlPlane.kt
@@ -9,6 +9,8 @@
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.gateway.GatewaySettings
 import org.chestnutloom.id.GatewayId
@@ -42,6 +44,7 @@
     private val parts: ControlParts,
 ) : ControlPlane {
     private val jobs = mutableListOf<Job>()
+    private val fleetReads = Mutex()
 
     @Volatile
     private var isStopping = false
@@ -81,6 +84,7 @@
             parts.rates.releaseAll()
             parts.slotKeeper.releaseAll()
             renew { it.copy(state = LeaseState.FENCED) }
+            parts.tellPeers()
         }
         jobs.forEach { it.cancel() }
         logger.event("control_stopped", "changes_not_durable" to parts.journal.pendingCount)
@@ -110,6 +114,7 @@
 
     private suspend fun noticed(notice: NoticeVersions): LinkReply {
         parts.head.noticed(notice)
+        watchFleet()
         return Done
     }
 
@@ -148,9 +153,11 @@
         record.copy(configVersion = parts.head.configVersion, keyVersion = parts.head.keyVersion)
 
     private suspend fun watchFleet() {
-        if (!parts.watcher.observe() || isStopping) return
-        parts.slotKeeper.claimFree()
-        parts.slotKeeper.handOver(parts.journal::hasPending)
+        fleetReads.withLock {
+            if (!parts.watcher.observe() || isStopping) return
+            parts.slotKeeper.claimFree()
+            if (parts.slotKeeper.handOver(parts.journal::hasPending)) scope.launch { parts.tellPeers() }
+        }
     }
 
     private fun repeatEach(
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/GroupJournal.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/GroupJournal.kt
@@ -60,6 +60,15 @@
             position?.let { found -> segments.get(found).mapLeft { JournalFailure.StoreDown(it.toString()) }.bind() }
         }
 
+    override fun noteNew(program: ProgramId) {
+        val epoch = epochOf(program) ?: return
+        synchronized(lock) {
+            if (programs.get(program, epoch) == null) {
+                programs.put(program, ProgramEntry(epoch, Condition.ABSENT, null, mutableMapOf()))
+            }
+        }
+    }
+
     override suspend fun commit(change: JournalChange): Either<JournalFailure, Unit> =
         record(PendingChange(change, mayKeep = false)).map { }
 
@@ -203,6 +212,7 @@
         keepInMemory(group)
         synchronized(lock) {
             queue.all().filter { !it.mayKeep }.forEach { drop(it, JournalFailure.StoreDown(detail)) }
+            isStoreDown = queue.size > 0
         }
     }
 
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/HeadWatcher.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/HeadWatcher.kt
@@ -3,12 +3,8 @@
 import arrow.core.Either
 import arrow.core.raise.either
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.flow.firstOrNull
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
-import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.config.ConfigHead
 import org.chestnutloom.gateway.GatewaySettings
 import org.chestnutloom.lease.GatewayLease
@@ -17,8 +13,6 @@
 import org.chestnutloom.store.TableStore
 import org.chestnutloom.store.decodeOrNull
 import org.chestnutloom.time.Clock
-import org.chestnutloom.wire.link.LinkException
-import org.chestnutloom.wire.link.PeerLink
 import org.chestnutloom.wire.message.NoticeVersions
 
 private val logger = KotlinLogging.logger {}
@@ -30,10 +24,9 @@
     private val table: TableStore,
     private val lease: GatewayLease,
     private val proof: ProofKeeper,
-    private val fleet: FleetDirectory,
     private val documents: SettingsKeeper,
     private val keys: KeyCache,
-    private val scope: CoroutineScope,
+    private val onNewVersions: () -> Unit,
     private val onUnacknowledged: () -> Unit,
 ) : VersionsInForce {
     private val polls = Mutex()
@@ -49,7 +42,7 @@
         val before = configVersion to keyVersion
         val result = polls.withLock { pollOnce() }
         result.onLeft { logger.warnEvent("head_read_failed", "cause" to it) }
-        if (before != configVersion to keyVersion) tellPeers()
+        if (before != configVersion to keyVersion) onNewVersions()
         if (!isAcknowledged()) onUnacknowledged()
     }
 
@@ -74,20 +67,4 @@
         val record = lease.record ?: return true
         return record.configVersion == configVersion && record.keyVersion == keyVersion
     }
-
-    private fun tellPeers() {
-        val notice = NoticeVersions(configVersion, keyVersion)
-        fleet.all().values.forEach { link -> scope.launch { tell(link, notice) } }
-    }
-
-    private suspend fun tell(
-        link: PeerLink,
-        notice: NoticeVersions,
-    ) {
-        try {
-            withTimeoutOrNull(settings.lease) { link.request(notice).firstOrNull() }
-        } catch (exception: LinkException) {
-            logger.warnEvent("notice_failed", "peer" to link.address, "cause" to exception.failure)
-        }
-    }
 }
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/Journal.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/Journal.kt
@@ -20,6 +20,13 @@
         turnNumber: Int,
     ): Either<JournalFailure, JsonElement?>
 
+    /**
+     * Notes that [program] has an id made just now, so that there is no such program yet.
+     *
+     * Without this note the store has to be asked, and no program can be opened in an outage.
+     */
+    public fun noteNew(program: ProgramId) {}
+
     /** Records [change] and returns once it is durable; on a failure it has not and will not become durable. */
     public suspend fun commit(change: JournalChange): Either<JournalFailure, Unit>
 
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/PeerNotifier.kt
@@ -0,0 +1,38 @@
+package org.chestnutloom.gateway.control
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.firstOrNull
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.gateway.GatewaySettings
+import org.chestnutloom.platform.log.warnEvent
+import org.chestnutloom.wire.link.LinkException
+import org.chestnutloom.wire.link.PeerLink
+import org.chestnutloom.wire.message.NoticeVersions
+
+private val logger = KotlinLogging.logger {}
+
+/** Tells the other gateways that rows of the table service changed, so that they need not wait for their next read. */
+internal class PeerNotifier(
+    private val settings: GatewaySettings,
+    private val fleet: FleetDirectory,
+) {
+    /** Sends [notice] to all other gateways, and returns once each has read the rows or has not answered in time. */
+    suspend fun tellAll(notice: NoticeVersions) {
+        coroutineScope {
+            fleet.all().values.forEach { link -> launch { tell(link, notice) } }
+        }
+    }
+
+    private suspend fun tell(
+        link: PeerLink,
+        notice: NoticeVersions,
+    ) {
+        try {
+            withTimeoutOrNull(settings.renewInterval) { link.request(notice).firstOrNull() }
+        } catch (exception: LinkException) {
+            logger.warnEvent("notice_failed", "peer" to link.address, "cause" to exception.failure)
+        }
+    }
+}
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/SlotKeeper.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/SlotKeeper.kt
@@ -70,15 +70,19 @@
         if (wanted.isNotEmpty()) claim(wanted)
     }
 
-    /** Hands slots with nothing under way to their preferred owners; [hasPending] tells of changes not yet durable. */
-    suspend fun handOver(hasPending: (Int) -> Boolean) {
+    /**
+     * Hands slots with nothing under way to their preferred owners, and returns whether there were any.
+     *
+     * [hasPending] tells of changes that are not durable yet.
+     */
+    suspend fun handOver(hasPending: (Int) -> Boolean): Boolean {
         val members = fleet.steadyPeers() + settings.id
         val moves =
             slots
                 .ownedSlots()
                 .associateWith { preferredOwner(it, members) }
                 .filterValues { it != null && it != settings.id }
-        give(moves, hasPending)
+        return moves.isNotEmpty() && give(moves, hasPending)
     }
 
     /** Releases all slots in a planned stop, so that others take them at once. */
@@ -136,18 +140,17 @@
     private suspend fun give(
         moves: Map<Int, GatewayId?>,
         hasPending: (Int) -> Boolean,
-    ) {
+    ): Boolean =
         claims.withLock {
             val closed = moves.filterKeys { slots.close(it) }
             val ready = closed.filterKeys { !hasPending(it) }
             (closed - ready.keys).keys.forEach(slots::reopen)
             val owners = ready.mapValues { (_, to) -> to?.let(::activeOwner) }
-            if (owners.isNotEmpty()) {
-                writeOwners(owners).onRight { logger.event("slots_handed_over", "slots" to owners.size) }
-            }
+            val isGiven = owners.isNotEmpty() && writeOwners(owners).isRight()
             ready.keys.forEach(slots::reopen)
+            if (isGiven) logger.event("slots_handed_over", "slots" to owners.size)
+            isGiven
         }
-    }
 
     private fun activeOwner(id: GatewayId): SlotOwner? = fleet.leases[id]?.let { SlotOwner(id, it.record.incarnation) }
 
--- a/chestnutloom-gateway/src/test/kotlin/org/chestnutloom/gateway/control/ControlPlaneSpec.kt
+++ b/chestnutloom-gateway/src/test/kotlin/org/chestnutloom/gateway/control/ControlPlaneSpec.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.json.JsonPrimitive
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.id.ClientAccountId
@@ -16,6 +17,7 @@
 import org.chestnutloom.mechanism.Mechanism
 import org.chestnutloom.mechanism.Mechanisms
 import org.chestnutloom.store.decodeOrNull
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 private val account = ClientAccountId("ward-9")
@@ -31,7 +33,7 @@
     runTest {
         val fleet = TestFleet(this)
         fleet.accept("ward-9=10/5")
-        body(fleet)
+        withTimeout(10.minutes) { body(fleet) }
     }
 
 private suspend fun TestGateway.awaitReady() = eventually { plane.isReady && plane.proof.check().isRight() }
@@ -186,6 +188,7 @@
                 inFleet { fleet ->
                     val gateway = fleet.start("a").also { it.awaitReady() }
                     gateway.awaitOwning(program)
+                    gateway.plane.journal.noteNew(program)
                     fleet.table.isDown = true
                     delay(1.seconds)
                     val results = (1..20).map { gateway.plane.journal.commitOrKeep(change("s$it", it to "t$it")) }
--- a/chestnutloom-gateway/src/test/kotlin/org/chestnutloom/gateway/control/TestFleet.kt
+++ b/chestnutloom-gateway/src/test/kotlin/org/chestnutloom/gateway/control/TestFleet.kt
@@ -130,7 +130,7 @@
     val incarnation: Incarnation,
     mechanisms: Mechanisms,
 ) {
-    val job = Job()
+    val job = Job(test.backgroundScope.coroutineContext[Job])
     val scope: CoroutineScope = test.backgroundScope + job
     val table = CuttableTable(fleet.table)
     val address = PeerAddress("10.0.0.1", id.hashCode() and 0xffff)
