Add stand-ins for the platform, plain services and the engine (compiled, never run: Ktor needs coroutines 1.11)

Cause: the daemons need a table service, an object store, a VM list, a plain service and an engine to run against. Change: each is a subcommand of one main class and also a factory for tests; the engine batches by a cost model, keeps a limited prefix cache, resumes, cancels, exports, imports and obeys orders; all show faults on command. No stand-in starts: Ktor 3.5.2 is built against kotlinx-coroutines 1.11.0, while the root pom pins 1.10.2, so embeddedServer ends with NoSuchMethodError BuildersKt.runBlockingK and, past that, ActorSelectorManager ends with NoSuchMethodError Job.invokeOnCompletion. The second one is in ktor-network, so it stops every Ktor server, client and socket of the project. Ruled out: starting the engine without EmbeddedServer (tried; it reaches ktor-network's selector and fails there); another release of Ktor or coroutines in the local cache (none there). Conclusion: kotlinx.coroutines.version in the root pom has to become 1.11.0. Behaviour is untested until then.

--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/command/ToolCommand.kt
@@ -0,0 +1,27 @@
+package org.chestnutloom.fakes.command
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import org.chestnutloom.fakes.StandIn
+import org.chestnutloom.fakes.target.ToolSettings
+import org.chestnutloom.fakes.target.toolStandIn
+import java.nio.file.Path
+
+/** Returns the command that runs a plain service. */
+@OptIn(ExperimentalCli::class)
+internal fun toolCommand(): Subcommand = ToolCommand()
+
+@OptIn(ExperimentalCli::class)
+private class ToolCommand : StandInCommand("tool", "Runs a plain service") {
+    private val logFile by option(ArgType.String, "log-file", description = "File to append the request log to")
+    private val bodyLimit by
+        option(
+            ArgType.Int,
+            "log-body-characters",
+            description = "Characters of each body to log",
+        ).default(Int.MAX_VALUE)
+
+    override fun standIn(): StandIn = toolStandIn(ToolSettings(port, logFile?.let(Path::of), bodyLimit))
+}
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/EngineRuns.kt
@@ -0,0 +1,21 @@
+package org.chestnutloom.fakes.engine
+
+/** The newest run of each request id, so that streams can be resumed and requests cancelled. */
+internal class EngineRuns {
+    private val lock = Any()
+    private val runs =
+        object : LinkedHashMap<String, EngineRun>() {
+            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, EngineRun>): Boolean =
+                size > MAX_RUNS && eldest.value.progress.value.end != null
+        }
+
+    fun add(run: EngineRun) {
+        synchronized(lock) { runs[run.requestId] = run }
+    }
+
+    fun find(requestId: String): EngineRun? = synchronized(lock) { runs[requestId] }
+
+    private companion object {
+        const val MAX_RUNS = 500
+    }
+}
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/EngineStats.kt
@@ -0,0 +1,18 @@
+package org.chestnutloom.fakes.engine
+
+import kotlinx.serialization.Serializable
+
+/**
+ * What an engine did since its start.
+ *
+ * @property prefilledTokens prompt tokens that were not in the cache
+ * @property cachedTokens prompt tokens that were in the cache
+ */
+@Serializable
+public data class EngineStats(
+    public val requests: Long,
+    public val prefilledTokens: Long,
+    public val cachedTokens: Long,
+    public val generatedTokens: Long,
+    public val heldTokens: Long,
+)
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/http/Answering.kt
@@ -0,0 +1,72 @@
+package org.chestnutloom.fakes.http
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.content.OutgoingContent
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.receive
+import io.ktor.server.response.respond
+import io.ktor.server.response.respondBytes
+import io.ktor.utils.io.ByteWriteChannel
+import kotlinx.coroutines.delay
+import kotlinx.serialization.SerializationException
+import org.chestnutloom.fakes.fault.FaultGate
+import org.chestnutloom.fakes.fault.FaultMode
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Answers the call with what [handle] makes of its body, through the fault that [gate] has in force. */
+internal suspend fun ApplicationCall.answer(
+    gate: FaultGate,
+    handle: suspend (ByteArray) -> HttpAnswer,
+) {
+    val body = receive<ByteArray>()
+    val fault = gate.next(body)
+    if (fault.delayMs > 0) delay(fault.delayMs.milliseconds)
+    when (fault.mode) {
+        FaultMode.DOWN -> {
+            send(HttpAnswer.empty(HttpStatusCode.ServiceUnavailable))
+        }
+
+        FaultMode.LOSE_REPLIES -> {
+            handleOrRefuse(body, handle)
+            dropConnection()
+        }
+
+        else -> {
+            send(handleOrRefuse(body, handle))
+        }
+    }
+}
+
+/** Answers an administrative call, which no fault touches. */
+internal suspend fun ApplicationCall.answerAdmin(handle: suspend (ByteArray) -> HttpAnswer) {
+    send(handleOrRefuse(receive<ByteArray>(), handle))
+}
+
+/** Decodes a JSON body. */
+internal inline fun <reified T> ByteArray.decode(): T = standInJson.decodeFromString(decodeToString())
+
+/** Sends [answer] whole. */
+internal suspend fun ApplicationCall.send(answer: HttpAnswer) {
+    respondBytes(answer.body, answer.contentType, answer.status)
+}
+
+/** Closes the caller's connection before the answer is whole. */
+internal suspend fun ApplicationCall.dropConnection() {
+    respond(DroppedContent)
+}
+
+private suspend fun handleOrRefuse(
+    body: ByteArray,
+    handle: suspend (ByteArray) -> HttpAnswer,
+): HttpAnswer =
+    try {
+        handle(body)
+    } catch (cause: SerializationException) {
+        HttpAnswer.json(BadRequest(cause.message.orEmpty()), HttpStatusCode.BadRequest)
+    }
+
+private object DroppedContent : OutgoingContent.WriteChannelContent() {
+    override val contentLength: Long = 1_000_000
+
+    override suspend fun writeTo(channel: ByteWriteChannel): Unit = throw ConnectionDropped()
+}
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/http/HttpAnswer.kt
@@ -0,0 +1,36 @@
+package org.chestnutloom.fakes.http
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import kotlinx.serialization.json.Json
+
+/** A whole answer of a stand-in. */
+internal class HttpAnswer(
+    val status: HttpStatusCode,
+    val contentType: ContentType?,
+    val body: ByteArray,
+) {
+    companion object {
+        fun empty(status: HttpStatusCode): HttpAnswer = HttpAnswer(status, null, ByteArray(0))
+
+        fun bytes(body: ByteArray): HttpAnswer =
+            HttpAnswer(HttpStatusCode.OK, ContentType.Application.OctetStream, body)
+
+        fun text(
+            status: HttpStatusCode,
+            body: String,
+        ): HttpAnswer = HttpAnswer(status, ContentType.Application.Json, body.toByteArray())
+
+        inline fun <reified T> json(
+            body: T,
+            status: HttpStatusCode = HttpStatusCode.OK,
+        ): HttpAnswer = text(status, standInJson.encodeToString(body))
+    }
+}
+
+/** The JSON form that stand-ins speak. */
+internal val standInJson: Json =
+    Json {
+        ignoreUnknownKeys = true
+        encodeDefaults = true
+    }
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/platform/ObjectStandIn.kt
@@ -0,0 +1,54 @@
+package org.chestnutloom.fakes.platform
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.put
+import org.chestnutloom.fakes.StandIn
+import org.chestnutloom.fakes.fault.FaultGate
+import org.chestnutloom.fakes.fault.faultRoutes
+import org.chestnutloom.fakes.http.HttpAnswer
+import org.chestnutloom.fakes.http.HttpStandIn
+import org.chestnutloom.fakes.http.answer
+import org.chestnutloom.fakes.http.answerAdmin
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.LongAdder
+
+/** Returns a stand-in for the platform's object store; [port] 0 picks a free one. */
+public fun objectStandIn(port: Int = 0): StandIn = HttpStandIn(port, ObjectService()::install)
+
+private class ObjectService {
+    private val objects = ConcurrentHashMap<String, ByteArray>()
+    private val puts = LongAdder()
+    private val gets = LongAdder()
+    private val putBytes = LongAdder()
+    private val gate = FaultGate()
+
+    fun install(route: Route) {
+        route.put("/v1/objects/{name...}") { call.answer(gate) { put(call.objectName(), it) } }
+        route.get("/v1/objects/{name...}") { call.answer(gate) { get(call.objectName()) } }
+        route.get("/admin/stats") { call.answerAdmin { HttpAnswer.json(stats()) } }
+        route.faultRoutes(gate)
+    }
+
+    private fun put(
+        name: String,
+        bytes: ByteArray,
+    ): HttpAnswer {
+        puts.increment()
+        putBytes.add(bytes.size.toLong())
+        objects[name] = bytes
+        return HttpAnswer.empty(HttpStatusCode.NoContent)
+    }
+
+    private fun get(name: String): HttpAnswer {
+        gets.increment()
+        val bytes = objects[name] ?: return HttpAnswer.empty(HttpStatusCode.NotFound)
+        return HttpAnswer.bytes(bytes)
+    }
+
+    private fun stats() = ObjectStats(puts.sum(), gets.sum(), putBytes.sum(), objects.size)
+
+    private fun ApplicationCall.objectName(): String = parameters.getAll("name").orEmpty().joinToString("/")
+}
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/platform/TableCounters.kt
@@ -0,0 +1,23 @@
+package org.chestnutloom.fakes.platform
+
+import java.util.concurrent.atomic.LongAdder
+
+/** Counts what a table service does. */
+internal class TableCounters {
+    val reads = LongAdder()
+    val transactions = LongAdder()
+    val conflicts = LongAdder()
+    val rowsWritten = LongAdder()
+    val receivedBytes = LongAdder()
+    val sentBytes = LongAdder()
+
+    fun toStats(): TableStats =
+        TableStats(
+            reads = reads.sum(),
+            transactions = transactions.sum(),
+            conflicts = conflicts.sum(),
+            rowsWritten = rowsWritten.sum(),
+            receivedBytes = receivedBytes.sum(),
+            sentBytes = sentBytes.sum(),
+        )
+}
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/platform/TableStandIn.kt
@@ -0,0 +1,69 @@
+package org.chestnutloom.fakes.platform
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import org.chestnutloom.fakes.StandIn
+import org.chestnutloom.fakes.fault.FaultGate
+import org.chestnutloom.fakes.fault.faultRoutes
+import org.chestnutloom.fakes.http.HttpAnswer
+import org.chestnutloom.fakes.http.HttpStandIn
+import org.chestnutloom.fakes.http.answer
+import org.chestnutloom.fakes.http.answerAdmin
+import org.chestnutloom.fakes.http.decode
+import org.chestnutloom.store.Transaction
+
+/** Returns a stand-in for the platform's table service; [port] 0 picks a free one. */
+public fun tableStandIn(port: Int = 0): StandIn = HttpStandIn(port, TableService()::install)
+
+private class TableService {
+    private val rows = TableRows()
+    private val counters = TableCounters()
+    private val gate = FaultGate()
+
+    fun install(route: Route) {
+        route.post("/v1/read") { call.count { read(it) } }
+        route.post("/v1/scan") { call.count { scan(it) } }
+        route.post("/v1/transact") { call.count { transact(it) } }
+        route.get("/admin/stats") { call.answerAdmin { HttpAnswer.json(counters.toStats()) } }
+        route.get("/admin/rows") {
+            val prefix = call.request.queryParameters["prefix"].orEmpty()
+            call.answerAdmin { HttpAnswer.json(RowList(rows.scan(prefix, null, Int.MAX_VALUE - 1).rows)) }
+        }
+        route.faultRoutes(gate)
+    }
+
+    private suspend fun ApplicationCall.count(handle: (ByteArray) -> HttpAnswer) =
+        answer(gate) { body ->
+            counters.receivedBytes.add(body.size.toLong())
+            handle(body).also { counters.sentBytes.add(it.body.size.toLong()) }
+        }
+
+    private fun read(body: ByteArray): HttpAnswer {
+        counters.reads.increment()
+        return HttpAnswer.json(RowList(rows.read(body.decode<ReadRequest>().keys)))
+    }
+
+    private fun scan(body: ByteArray): HttpAnswer {
+        counters.reads.increment()
+        val request = body.decode<ScanRequest>()
+        return HttpAnswer.json(rows.scan(request.prefix, request.afterKey, request.limit))
+    }
+
+    private fun transact(body: ByteArray): HttpAnswer {
+        val transaction = body.decode<Transaction>()
+        return rows.transact(transaction).fold(
+            { conflict ->
+                counters.conflicts.increment()
+                HttpAnswer.json(conflict, HttpStatusCode.Conflict)
+            },
+            { written ->
+                counters.transactions.increment()
+                counters.rowsWritten.add(transaction.writes.size.toLong())
+                HttpAnswer.json(RowList(written))
+            },
+        )
+    }
+}
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/platform/VmListStandIn.kt
@@ -0,0 +1,51 @@
+package org.chestnutloom.fakes.platform
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.delete
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.put
+import org.chestnutloom.fakes.StandIn
+import org.chestnutloom.fakes.fault.FaultGate
+import org.chestnutloom.fakes.fault.faultRoutes
+import org.chestnutloom.fakes.http.HttpAnswer
+import org.chestnutloom.fakes.http.HttpStandIn
+import org.chestnutloom.fakes.http.answer
+import org.chestnutloom.fakes.http.answerAdmin
+import org.chestnutloom.fakes.http.decode
+import org.chestnutloom.store.VmEntry
+import org.chestnutloom.time.Clock
+import org.chestnutloom.time.systemClock
+
+/** Returns a stand-in for the platform's VM list; [port] 0 picks a free one. */
+public fun vmListStandIn(
+    port: Int = 0,
+    clock: Clock = systemClock(),
+): StandIn = HttpStandIn(port, VmListService(clock)::install)
+
+private class VmListService(
+    clock: Clock,
+) {
+    private val vms = LaggingVms(clock)
+    private val gate = FaultGate()
+
+    fun install(route: Route) {
+        route.get("/v1/vms") { call.answer(gate) { HttpAnswer.json(VmEntryList(vms.visible())) } }
+        route.put("/admin/vms/{id}") {
+            call.answerAdmin { body -> done { vms.put(body.decode<VmEntry>()) } }
+        }
+        route.delete("/admin/vms/{id}") {
+            call.answerAdmin { done { vms.remove(call.parameters["id"].orEmpty()) } }
+        }
+        route.post("/admin/lag") {
+            call.answerAdmin { body -> done { vms.setLag(body.decode<Lag>().lagMs) } }
+        }
+        route.faultRoutes(gate)
+    }
+
+    private fun done(change: () -> Unit): HttpAnswer {
+        change()
+        return HttpAnswer.empty(HttpStatusCode.NoContent)
+    }
+}
