Close connections for real when a stand-in loses a reply or cuts a stream

Cause: started as processes, the stand-ins ended a cut stream with a clean last chunk, and a lost reply showed sometimes no byte and sometimes a 200 header. Ruled out: throwing out of the body writer, since the server's chunk encoder then ends the body in order. Change: cancel the job of the connection, so that nothing more is sent. Keep libraries' logs below warnings out of a stand-in's output. Tried and recorded: Ktor's CIO client reads a stream cut inside its chunked framing as whole, so the specs use the JDK's client, which fails there.

--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/command/StandInCommand.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/command/StandInCommand.kt
@@ -1,5 +1,6 @@
 package org.chestnutloom.fakes.command
 
+import ch.qos.logback.classic.Level
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
@@ -7,6 +8,9 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
 import org.chestnutloom.fakes.StandIn
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+import ch.qos.logback.classic.Logger as LogbackLogger
 
 /** A command that runs one stand-in until the process ends. */
 @OptIn(ExperimentalCli::class)
@@ -23,6 +27,7 @@
     protected abstract fun standIn(): StandIn
 
     override fun execute() {
+        quietLibraries()
         val standIn = standIn()
         runBlocking {
             standIn.start()
@@ -30,4 +35,9 @@
             awaitCancellation()
         }
     }
+
+    private fun quietLibraries() {
+        val root = LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME)
+        if (root is LogbackLogger) root.level = Level.WARN
+    }
 }
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/CompletionRoutes.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/CompletionRoutes.kt
@@ -16,9 +16,9 @@
 import org.chestnutloom.fakes.fault.FaultGate
 import org.chestnutloom.fakes.fault.FaultMode
 import org.chestnutloom.fakes.http.BadRequest
-import org.chestnutloom.fakes.http.ConnectionDropped
 import org.chestnutloom.fakes.http.HttpAnswer
 import org.chestnutloom.fakes.http.answer
+import org.chestnutloom.fakes.http.cutConnection
 import org.chestnutloom.fakes.http.decode
 import org.chestnutloom.fakes.http.dropConnection
 import org.chestnutloom.fakes.http.send
@@ -77,7 +77,7 @@
     ) {
         if (fault.mode == FaultMode.LOSE_REPLIES) {
             run.awaitEnd()
-            return dropConnection()
+            dropConnection()
         }
         if (run.request.stream) stream(run, 0, fault) else respondWhole(run)
     }
@@ -119,8 +119,8 @@
         chunkLimit: Int,
     ) {
         for (index in from until run.chunkCount) {
-            if (index - from >= chunkLimit) throw ConnectionDropped()
-            if (!run.awaitChunk(index)) throw ConnectionDropped()
+            if (index - from >= chunkLimit) call.cutConnection()
+            if (!run.awaitChunk(index)) call.cutConnection()
             send(data = completions.chunk(run, index))
         }
         send(data = STREAM_END)
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/http/Answering.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/http/Answering.kt
@@ -1,12 +1,9 @@
 package org.chestnutloom.fakes.http
 
 import io.ktor.http.HttpStatusCode
-import io.ktor.http.content.OutgoingContent
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.receive
-import io.ktor.server.response.respond
 import io.ktor.server.response.respondBytes
-import io.ktor.utils.io.ByteWriteChannel
 import kotlinx.coroutines.delay
 import kotlinx.serialization.SerializationException
 import org.chestnutloom.fakes.fault.FaultGate
@@ -50,11 +47,6 @@
     respondBytes(answer.body, answer.contentType, answer.status)
 }
 
-/** Closes the caller's connection before the answer is whole. */
-internal suspend fun ApplicationCall.dropConnection() {
-    respond(DroppedContent)
-}
-
 private suspend fun handleOrRefuse(
     body: ByteArray,
     handle: suspend (ByteArray) -> HttpAnswer,
@@ -64,9 +56,3 @@
     } catch (cause: SerializationException) {
         HttpAnswer.json(BadRequest(cause.message.orEmpty()), HttpStatusCode.BadRequest)
     }
-
-private object DroppedContent : OutgoingContent.WriteChannelContent() {
-    override val contentLength: Long = 1_000_000
-
-    override suspend fun writeTo(channel: ByteWriteChannel): Unit = throw ConnectionDropped()
-}
--- /dev/null
+++ b/chestnutloom-fakes/src/test/kotlin/org/chestnutloom/fakes/StandInClient.kt
@@ -0,0 +1,46 @@
+package org.chestnutloom.fakes
+
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.future.await
+import org.chestnutloom.fakes.http.standInJson
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpRequest.BodyPublishers
+import java.net.http.HttpResponse.BodyHandlers
+
+/** Talks to a stand-in on this VM with a client that fails when an answer is not whole. */
+internal class StandInClient(
+    private val port: Int,
+) {
+    private val http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+
+    suspend fun send(
+        path: String,
+        body: String? = null,
+        method: HttpMethod = if (body == null) HttpMethod.Get else HttpMethod.Post,
+        headers: Map<String, String> = emptyMap(),
+    ): StandInAnswer {
+        val publisher = if (body == null) BodyPublishers.noBody() else BodyPublishers.ofString(body)
+        val request = HttpRequest.newBuilder(URI("http://127.0.0.1:$port$path")).method(method.value, publisher)
+        headers.forEach(request::header)
+        val response = http.sendAsync(request.build(), BodyHandlers.ofString()).await()
+        return StandInAnswer(response.statusCode(), response.body())
+    }
+
+    suspend fun fault(fault: String) {
+        send("/admin/fault", fault)
+    }
+
+    suspend inline fun <reified T> read(path: String): T = standInJson.decodeFromString(send(path).body)
+}
+
+/** Runs [test] against a started stand-in. */
+internal suspend fun StandIn.use(test: suspend (StandInClient) -> Unit) {
+    start()
+    try {
+        test(StandInClient(port))
+    } finally {
+        stop()
+    }
+}
