Add the process launcher, and commit the plain service, which was ignored

Cause: the integration tests and the experiment need real processes with their ports, signals and output. Change: packages record and tool hold what target held; launch holds ProcessLauncher, which takes the class path of the current process (also from Surefire or a jar with only a manifest), waits for events in the output, sends SIGKILL, SIGSTOP, SIGCONT and SIGTERM, and kills all on close.

--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/command/ToolCommand.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/command/ToolCommand.kt
@@ -5,8 +5,8 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import org.chestnutloom.fakes.StandIn
-import org.chestnutloom.fakes.target.ToolSettings
-import org.chestnutloom.fakes.target.toolStandIn
+import org.chestnutloom.fakes.tool.ToolSettings
+import org.chestnutloom.fakes.tool.toolStandIn
 import java.nio.file.Path
 
 /** Returns the command that runs a plain service. */
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/CompletionRoutes.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/CompletionRoutes.kt
@@ -22,9 +22,9 @@
 import org.chestnutloom.fakes.http.decode
 import org.chestnutloom.fakes.http.dropConnection
 import org.chestnutloom.fakes.http.send
-import org.chestnutloom.fakes.target.PROGRAM_ID_HEADER
-import org.chestnutloom.fakes.target.REQUEST_ID_HEADER
-import org.chestnutloom.fakes.target.RequestLog
+import org.chestnutloom.fakes.record.PROGRAM_ID_HEADER
+import org.chestnutloom.fakes.record.REQUEST_ID_HEADER
+import org.chestnutloom.fakes.record.RequestLog
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The completions of an engine: run, resume and cancel. */
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/Engine.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/Engine.kt
@@ -8,7 +8,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
-import org.chestnutloom.fakes.target.RequestLog
+import org.chestnutloom.fakes.record.RequestLog
 import org.chestnutloom.time.Clock
 import java.util.concurrent.atomic.LongAdder
 import kotlin.concurrent.Volatile
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/EngineService.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/EngineService.kt
@@ -11,8 +11,8 @@
 import org.chestnutloom.fakes.http.answer
 import org.chestnutloom.fakes.http.answerAdmin
 import org.chestnutloom.fakes.http.decode
-import org.chestnutloom.fakes.target.RequestLog
-import org.chestnutloom.fakes.target.logRoutes
+import org.chestnutloom.fakes.record.RequestLog
+import org.chestnutloom.fakes.record.logRoutes
 
 /** The HTTP interface of an engine, besides completions. */
 internal class EngineService(
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/EngineSettings.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/EngineSettings.kt
@@ -1,6 +1,6 @@
 package org.chestnutloom.fakes.engine
 
-import org.chestnutloom.fakes.target.Crash
+import org.chestnutloom.fakes.fault.Crash
 import java.nio.file.Path
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/EngineStandIn.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/engine/EngineStandIn.kt
@@ -2,7 +2,7 @@
 
 import org.chestnutloom.fakes.StandIn
 import org.chestnutloom.fakes.http.HttpStandIn
-import org.chestnutloom.fakes.target.RequestLog
+import org.chestnutloom.fakes.record.RequestLog
 import org.chestnutloom.time.Clock
 import org.chestnutloom.time.systemClock
 
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/record/LogRoutes.kt
@@ -0,0 +1,14 @@
+package org.chestnutloom.fakes.record
+
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import org.chestnutloom.fakes.http.HttpAnswer
+import org.chestnutloom.fakes.http.answerAdmin
+
+/** Shows the log by `GET /admin/log?after={number}`. */
+internal fun Route.logRoutes(log: RequestLog) {
+    get("/admin/log") {
+        val after = call.request.queryParameters["after"]?.toIntOrNull() ?: 0
+        call.answerAdmin { HttpAnswer.json(RequestRecords(log.after(after))) }
+    }
+}
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/record/RequestRecords.kt
@@ -0,0 +1,9 @@
+package org.chestnutloom.fakes.record
+
+import kotlinx.serialization.Serializable
+
+/** The answer of `GET /admin/log`. */
+@Serializable
+public data class RequestRecords(
+    public val requests: List<RequestRecord>,
+)
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/tool/ToolStandIn.kt
@@ -0,0 +1,81 @@
+package org.chestnutloom.fakes.tool
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.uri
+import io.ktor.server.response.header
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.route
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import org.chestnutloom.fakes.StandIn
+import org.chestnutloom.fakes.fault.FaultGate
+import org.chestnutloom.fakes.fault.faultRoutes
+import org.chestnutloom.fakes.http.HttpAnswer
+import org.chestnutloom.fakes.http.HttpStandIn
+import org.chestnutloom.fakes.http.answer
+import org.chestnutloom.fakes.record.REQUEST_ID_HEADER
+import org.chestnutloom.fakes.record.RequestLog
+import org.chestnutloom.fakes.record.logRoutes
+import org.chestnutloom.time.Clock
+import org.chestnutloom.time.systemClock
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Returns a stand-in for a plain service, which runs any request and logs it. */
+public fun toolStandIn(
+    settings: ToolSettings = ToolSettings(),
+    clock: Clock = systemClock(),
+): StandIn = HttpStandIn(settings.port, ToolService(settings, clock)::install)
+
+private class ToolService(
+    private val settings: ToolSettings,
+    clock: Clock,
+) {
+    private val log = RequestLog(clock, settings.logFile, settings.bodyLimit)
+    private val gate = FaultGate()
+    private val effects = AtomicInteger()
+
+    fun install(route: Route) {
+        route.logRoutes(log)
+        route.faultRoutes(gate)
+        route.route("{path...}") {
+            handle { call.answer(gate) { call.run(it) } }
+        }
+    }
+
+    private suspend fun ApplicationCall.run(body: ByteArray): HttpAnswer {
+        val number = log.received(this, body)
+        val behaviour = ToolBehaviour.of(body)
+        log.change(number) { record, nowMs -> record.copy(startedAtMs = nowMs) }
+        if (behaviour.crash) settings.crash.crash()
+        if (behaviour.hang) awaitCancellation()
+        delay(behaviour.delayMs.milliseconds)
+        val answer = outcome(body, behaviour)
+        log.change(number) { record, nowMs -> record.copy(endedAtMs = nowMs, status = answer.status.value) }
+        request.headers[REQUEST_ID_HEADER]?.let { response.header(REQUEST_ID_HEADER, it) }
+        return answer
+    }
+
+    private fun ApplicationCall.outcome(
+        body: ByteArray,
+        behaviour: ToolBehaviour,
+    ): HttpAnswer {
+        val failStatus = behaviour.failStatus
+        if (failStatus != null) return HttpAnswer.text(HttpStatusCode.fromValue(failStatus), FAILURE_BODY)
+        val effect =
+            ToolEffect(
+                requestId = request.headers[REQUEST_ID_HEADER],
+                effect = effects.incrementAndGet(),
+                method = request.httpMethod.value,
+                path = request.uri,
+                bodyBytes = body.size,
+            )
+        return HttpAnswer.json(effect)
+    }
+
+    private companion object {
+        const val FAILURE_BODY = """{"problem":"failed as asked"}"""
+    }
+}
--- a/chestnutloom-fakes/src/test/kotlin/org/chestnutloom/fakes/engine/EngineStandInSpec.kt
+++ b/chestnutloom-fakes/src/test/kotlin/org/chestnutloom/fakes/engine/EngineStandInSpec.kt
@@ -11,7 +11,7 @@
 import org.chestnutloom.fakes.StandInClient
 import org.chestnutloom.fakes.http.standInJson
 import org.chestnutloom.fakes.platform.objectStandIn
-import org.chestnutloom.fakes.target.RequestRecords
+import org.chestnutloom.fakes.record.RequestRecords
 import org.chestnutloom.fakes.use
 import java.io.IOException
 import kotlin.time.Duration.Companion.milliseconds
--- /dev/null
+++ b/chestnutloom-fakes/src/test/kotlin/org/chestnutloom/fakes/launch/ProcessLauncherSpec.kt
@@ -0,0 +1,83 @@
+package org.chestnutloom.fakes.launch
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.engine.spec.tempdir
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import kotlinx.coroutines.delay
+import org.chestnutloom.fakes.StandInClient
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.time.Duration.Companion.milliseconds
+
+private const val KILLED = 137
+private const val TERMINATED = 143
+
+private fun stateOf(pid: Long): String =
+    Files
+        .readString(Path.of("/proc/$pid/stat"))
+        .substringAfterLast(')')
+        .trim()
+        .take(1)
+
+private suspend fun awaitState(
+    process: LaunchedProcess,
+    expected: (String) -> Boolean,
+) {
+    while (!expected(stateOf(process.pid))) delay(5.milliseconds)
+}
+
+class ProcessLauncherSpec :
+    DescribeSpec({
+        val directory = tempdir().toPath()
+
+        describe("a launched process") {
+            it("is found by its ports and ends by each signal") {
+                processLauncher(directory).use { launcher ->
+                    val table = launcher.start(standInProcess("table", "table"))
+                    val tool = launcher.start(standInProcess("tool", "tool"))
+                    val client = StandInClient(table.awaitListening().port())
+                    client.send("/v1/read", """{"keys":[]}""").status shouldBe 200
+                    tool.awaitListening().fields["role"] shouldBe "tool"
+                    table.kill9()
+                    table.awaitExit() shouldBe KILLED
+                    tool.term()
+                    tool.awaitExit() shouldBe TERMINATED
+                }
+            }
+
+            it("freezes, goes on and ends with its launcher") {
+                val frozen =
+                    processLauncher(directory).use { launcher ->
+                        val process = launcher.start(standInProcess("vms", "vms"))
+                        process.awaitListening()
+                        process.stop()
+                        awaitState(process) { it == "T" }
+                        process.cont()
+                        awaitState(process) { it != "T" }
+                        process.stop()
+                        process
+                    }
+                frozen.isAlive shouldBe false
+            }
+
+            it("that ends before it listens is reported with its output") {
+                processLauncher(directory).use { launcher ->
+                    val failed = launcher.start(standInProcess("failed", "no-such-command"))
+                    val failure = shouldThrow<EventNotSeenException> { failed.awaitListening() }
+                    failure.exitCode shouldBe failed.awaitExit()
+                    failure.lastOutput shouldContain "Usage"
+                }
+            }
+        }
+
+        describe("an event line") {
+            it("is read with its quoted values and without a prefix") {
+                val line = EventLine.parse("""12:00 INFO x - event=listening role=gateway port=12 note="a \"b\" c=d"""")
+                line.event shouldBe "listening"
+                line.port() shouldBe 12
+                line.fields["note"] shouldBe """a "b" c=d"""
+            }
+        }
+    })
