Add the fault-injecting proxy

Cause: the proofs need links that are cut, cut one way, silent, late, that lose a reply after delivery or repeat bytes, under command and by connection. Ruled out: letting a connection that lost bytes go on after the fault, since a real connection never has a hole in its stream. Change: FaultProxy (in-process) and the command "proxy"; a fault may start after some bytes, hold for a count of connections, one direction, or connections that carried a given text. GET /admin/links tells what each link carried and how many faults were taken. Waits in specs use a limit of 30 s.

--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/Main.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/Main.kt
@@ -4,6 +4,7 @@
 import kotlinx.cli.ExperimentalCli
 import org.chestnutloom.fakes.command.engineCommand
 import org.chestnutloom.fakes.command.objectsCommand
+import org.chestnutloom.fakes.command.proxyCommand
 import org.chestnutloom.fakes.command.tableCommand
 import org.chestnutloom.fakes.command.toolCommand
 import org.chestnutloom.fakes.command.vmsCommand
@@ -18,6 +19,7 @@
         vmsCommand(),
         toolCommand(),
         engineCommand(),
+        proxyCommand(),
     )
     parser.parse(args)
 }
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/command/StandInCommand.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/command/StandInCommand.kt
@@ -17,10 +17,11 @@
 internal abstract class StandInCommand(
     name: String,
     description: String,
+    portFlag: String = "port",
 ) : Subcommand(name, description) {
     protected val port: Int by option(
         ArgType.Int,
-        "port",
+        portFlag,
         description = "Port to listen on; 0 picks a free one",
     ).default(0)
 
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/proxy/LinkSpec.kt
@@ -0,0 +1,16 @@
+package org.chestnutloom.fakes.proxy
+
+import kotlinx.serialization.Serializable
+
+/**
+ * A listener of a proxy and where it leads.
+ *
+ * @property listenPort the port to listen on; 0 picks a free one
+ */
+@Serializable
+public data class LinkSpec(
+    public val name: String,
+    public val listenPort: Int = 0,
+    public val targetHost: String,
+    public val targetPort: Int,
+)
--- a/chestnutloom-fakes/src/test/kotlin/org/chestnutloom/fakes/engine/EngineStandInSpec.kt
+++ b/chestnutloom-fakes/src/test/kotlin/org/chestnutloom/fakes/engine/EngineStandInSpec.kt
@@ -1,5 +1,6 @@
 package org.chestnutloom.fakes.engine
 
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
@@ -15,6 +16,7 @@
 import org.chestnutloom.fakes.use
 import java.io.IOException
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private const val MODEL = "m"
 private const val COMPLETIONS = "/v1/chat/completions"
@@ -101,7 +103,7 @@
                                 engine.send(COMPLETIONS, chat("hello", 1_000_000, true), headers = named("r1"))
                             }
                         }
-                    while (engine.log().requests.none { it.startedAtMs != null }) engine.send("/v1/health")
+                    eventually(30.seconds) { engine.log().requests.any { it.startedAtMs != null } shouldBe true }
                     engine.send("/v1/requests/r1/cancel", "").status shouldBe 204
                     caller.join()
                     engine
--- a/chestnutloom-fakes/src/test/kotlin/org/chestnutloom/fakes/launch/ProcessLauncherSpec.kt
+++ b/chestnutloom-fakes/src/test/kotlin/org/chestnutloom/fakes/launch/ProcessLauncherSpec.kt
@@ -1,15 +1,15 @@
 package org.chestnutloom.fakes.launch
 
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.engine.spec.tempdir
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
-import kotlinx.coroutines.delay
 import org.chestnutloom.fakes.StandInClient
 import java.nio.file.Files
 import java.nio.file.Path
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private const val KILLED = 137
 private const val TERMINATED = 143
@@ -25,7 +25,7 @@
     process: LaunchedProcess,
     expected: (String) -> Boolean,
 ) {
-    while (!expected(stateOf(process.pid))) delay(5.milliseconds)
+    eventually(30.seconds) { expected(stateOf(process.pid)) shouldBe true }
 }
 
 class ProcessLauncherSpec :
