--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/command/StandInCommand.kt
@@ -0,0 +1,44 @@
+package org.chestnutloom.fakes.command
+
+import ch.qos.logback.classic.Level
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.runBlocking
+import org.chestnutloom.fakes.StandIn
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+import ch.qos.logback.classic.Logger as LogbackLogger
+
+/** A command that runs one stand-in until the process ends. */
+@OptIn(ExperimentalCli::class)
+internal abstract class StandInCommand(
+    name: String,
+    description: String,
+    portFlag: String = "port",
+) : Subcommand(name, description) {
+    protected val port: Int by option(
+        ArgType.Int,
+        portFlag,
+        description = "Port to listen on; 0 picks a free one",
+    ).default(0)
+
+    protected abstract fun standIn(): StandIn
+
+    override fun execute() {
+        quietLibraries()
+        val standIn = standIn()
+        runBlocking {
+            standIn.start()
+            println("event=listening role=$name port=${standIn.port}")
+            awaitCancellation()
+        }
+    }
+
+    private fun quietLibraries() {
+        val root = LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME)
+        if (root is LogbackLogger) root.level = Level.WARN
+    }
+}
