Link processes by CBOR frames over TCP

Cause: gateways and sidecars had only the types of a link. Ruled out: item credits, since one item may be megabytes; credits count bytes. An unbounded wait on a blocked peer: silence ends the connection, and a request that was not sent connects anew. Change: hello, heartbeats with an echo that bounds their time under way, streams with sequence numbers and byte credits, silence watch, typed failures, server that cancels the handlers of a lost connection.

--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/ClientConnection.kt
@@ -0,0 +1,115 @@
+package org.chestnutloom.wire.link
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.wire.message.LinkRequest
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.random.Random
+
+/** The calling end of one connection: its open streams. */
+internal class ClientConnection(
+    private val connection: Connection,
+    private val address: PeerAddress,
+    private val options: LinkOptions,
+    private val onHeartbeat: (Heartbeat) -> Unit,
+) : ConnectionEvents {
+    private val streams = ConcurrentHashMap<Long, ClientStream>()
+    private val openOrder = Mutex()
+    private var nextId = Random.nextLong(MAX_FIRST_ID)
+
+    val peer: PeerIdentity
+        get() = connection.peer
+
+    val isOpen: Boolean
+        get() = connection.isOpen
+
+    suspend fun run() {
+        connection.run(this)
+    }
+
+    fun close(detail: String) {
+        connection.close(detail)
+    }
+
+    /** Opens a stream for [request], or returns null when the connection had ended before anything was sent. */
+    suspend fun open(request: LinkRequest): ClientStream? =
+        openOrder.withLock {
+            val stream = ClientStream(nextId++, address, options)
+            streams[stream.id] = stream
+            if (!connection.isOpen) {
+                streams.remove(stream.id)
+                return null
+            }
+            sendOpen(stream, request)
+            stream
+        }
+
+    /** Reads one reply, and lets the peer send more when much was read. */
+    suspend fun next(stream: ClientStream): SizedReply? {
+        val reply = stream.next() ?: return null
+        val creditBytes = stream.consumed(reply)
+        if (creditBytes > 0) sendQuietly(Frame.Credit(stream.id, creditBytes))
+        return reply
+    }
+
+    /** Forgets [stream], and tells the peer when it has not ended. */
+    suspend fun release(stream: ClientStream) {
+        if (streams.remove(stream.id) == null) return
+        withContext(NonCancellable) {
+            withTimeoutOrNull(options.silence) { sendQuietly(Frame.Cancel(stream.id)) }
+        }
+    }
+
+    override fun heartbeat(beat: Heartbeat) {
+        onHeartbeat(beat)
+    }
+
+    override fun frame(received: SizedFrame): Either<MalformedFrame, Unit> =
+        when (val frame = received.frame) {
+            is Frame.Item -> streams[frame.stream]?.item(frame, received.sizeBytes) ?: Unit.right()
+            is Frame.End -> Unit.right().also { streams.remove(frame.stream)?.end(frame.items) }
+            is Frame.Fail -> Unit.right().also { streams.remove(frame.stream)?.fail(failed(frame.detail)) }
+            else -> MalformedFrame("${frame.javaClass.simpleName} from the answering end").left()
+        }
+
+    override fun ended(failure: LinkFailure) {
+        streams.values.forEach { it.fail(asLost(failure)) }
+        streams.clear()
+    }
+
+    private suspend fun sendOpen(
+        stream: ClientStream,
+        request: LinkRequest,
+    ) {
+        try {
+            connection.send(Frame.Open(stream.id, request))
+        } catch (e: LinkException) {
+            streams.remove(stream.id)
+            throw e
+        }
+        if (!connection.isOpen) stream.fail(failed("the connection ended"))
+    }
+
+    private suspend fun sendQuietly(frame: Frame) {
+        try {
+            connection.send(frame)
+        } catch (_: LinkException) {
+            // The stream itself fails with the reason.
+        }
+    }
+
+    private fun asLost(failure: LinkFailure): LinkFailure =
+        if (failure is LinkFailure.Malformed) failure else LinkFailure.Lost(address, failure.toString())
+
+    private fun failed(detail: String): LinkFailure = LinkFailure.Lost(address, detail)
+
+    private companion object {
+        private const val MAX_FIRST_ID = Long.MAX_VALUE / 2
+    }
+}
--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/FrameCodec.kt
@@ -0,0 +1,23 @@
+package org.chestnutloom.wire.link
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+
+/** Turns frames into CBOR and back. */
+@OptIn(ExperimentalSerializationApi::class)
+internal object FrameCodec {
+    private val cbor = Cbor { ignoreUnknownKeys = true }
+
+    fun encode(frame: Frame): ByteArray = cbor.encodeToByteArray(Frame.serializer(), frame)
+
+    /** Decodes [bytes], or says in one short phrase why they are not a frame. */
+    fun decode(bytes: ByteArray): Either<MalformedFrame, Frame> =
+        try {
+            cbor.decodeFromByteArray(Frame.serializer(), bytes).right()
+        } catch (e: RuntimeException) {
+            MalformedFrame("${bytes.size} bytes are not a frame: ${e.javaClass.simpleName}").left()
+        }
+}
--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/ServerConnection.kt
@@ -0,0 +1,118 @@
+package org.chestnutloom.wire.link
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
+import org.chestnutloom.wire.message.LinkRequest
+import java.util.concurrent.ConcurrentHashMap
+
+private val logger = KotlinLogging.logger {}
+
+/** The answering end of one connection: the handlers that run for its streams. */
+internal class ServerConnection(
+    private val connection: Connection,
+    private val handler: LinkHandler,
+    private val options: LinkOptions,
+    private val scope: CoroutineScope,
+) : ConnectionEvents {
+    private val streams = ConcurrentHashMap<Long, ServerStream>()
+    private var newestId = -1L
+
+    suspend fun run() {
+        connection.run(this)
+    }
+
+    override fun heartbeat(beat: Heartbeat) {
+        handler.heartbeat(connection.peer, beat)
+    }
+
+    override fun frame(received: SizedFrame): Either<MalformedFrame, Unit> =
+        when (val frame = received.frame) {
+            is Frame.Open -> open(frame)
+            is Frame.Cancel -> Unit.right().also { streams.remove(frame.stream)?.job?.cancel() }
+            is Frame.Credit -> credit(frame)
+            else -> MalformedFrame("${frame.javaClass.simpleName} from the calling end").left()
+        }
+
+    override fun ended(failure: LinkFailure) {
+        streams.values.forEach { it.job.cancel() }
+        streams.clear()
+    }
+
+    /** Starts the handler, unless this is a repeat of an earlier frame. */
+    private fun open(frame: Frame.Open): Either<MalformedFrame, Unit> {
+        if (frame.stream <= newestId) return Unit.right()
+        if (streams.size >= MAX_STREAMS) return MalformedFrame("more than $MAX_STREAMS streams").left()
+        newestId = frame.stream
+        val window = CreditWindow(options.windowBytes)
+        val job = scope.launch(start = CoroutineStart.LAZY) { answer(frame.stream, frame.request, window) }
+        streams[frame.stream] = ServerStream(job, window)
+        job.invokeOnCompletion { streams.remove(frame.stream) }
+        job.start()
+        return Unit.right()
+    }
+
+    private fun credit(frame: Frame.Credit): Either<MalformedFrame, Unit> {
+        val mostBytes = options.windowBytes + options.maxFrameBytes
+        if (frame.sizeBytes !in 1..mostBytes) return MalformedFrame("credit of ${frame.sizeBytes} bytes").left()
+        streams[frame.stream]?.window?.give(frame.sizeBytes)
+        return Unit.right()
+    }
+
+    private suspend fun answer(
+        stream: Long,
+        request: LinkRequest,
+        window: CreditWindow,
+    ) {
+        var items = 0L
+        try {
+            handler.handle(connection.peer, request).collect { sendItem(Frame.Item(stream, items++, it), window) }
+            connection.send(Frame.End(stream, items))
+        } catch (e: CancellationException) {
+            // A handler's own timeout ends only its stream, and the peer has to learn of it.
+            currentCoroutineContext().ensureActive()
+            reportFailure(stream, request, e)
+        } catch (e: Exception) {
+            reportFailure(stream, request, e)
+        }
+    }
+
+    private suspend fun sendItem(
+        item: Frame.Item,
+        window: CreditWindow,
+    ) {
+        val bytes = FrameCodec.encode(item)
+        window.take(bytes.size)
+        connection.sendEncoded(bytes)
+    }
+
+    private suspend fun reportFailure(
+        stream: Long,
+        request: LinkRequest,
+        cause: Exception,
+    ) {
+        logger.warn(cause) { "event=link_handler_failed request=${request.javaClass.simpleName}" }
+        try {
+            connection.send(Frame.Fail(stream, cause.javaClass.simpleName))
+        } catch (_: LinkException) {
+            // The connection has ended, and with it the stream.
+        }
+    }
+
+    private class ServerStream(
+        val job: Job,
+        val window: CreditWindow,
+    )
+
+    private companion object {
+        private const val MAX_STREAMS = 16_384
+    }
+}
--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/SizedReply.kt
@@ -0,0 +1,9 @@
+package org.chestnutloom.wire.link
+
+import org.chestnutloom.wire.message.LinkReply
+
+/** A reply with the encoded size of its frame. */
+internal data class SizedReply(
+    val reply: LinkReply,
+    val sizeBytes: Int,
+)
--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/TcpLinkServer.kt
@@ -0,0 +1,125 @@
+package org.chestnutloom.wire.link
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.port
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.supervisorScope
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
+import org.chestnutloom.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Returns a server for links at [bind], where port 0 picks a free one.
+ *
+ * @param self the identity that this end shows
+ * @param scope where the server's work runs; its end stops the server
+ */
+public fun linkServer(
+    bind: PeerAddress,
+    self: PeerIdentity,
+    handler: LinkHandler,
+    heartbeats: HeartbeatSource,
+    options: LinkOptions,
+    clock: Clock,
+    scope: CoroutineScope,
+): LinkServer = TcpLinkServer(bind, self, handler, heartbeats, options, clock, scope)
+
+private class TcpLinkServer(
+    private val bind: PeerAddress,
+    private val self: PeerIdentity,
+    private val handler: LinkHandler,
+    private val heartbeats: HeartbeatSource,
+    private val options: LinkOptions,
+    private val clock: Clock,
+    outerScope: CoroutineScope,
+) : LinkServer {
+    private val job: Job = SupervisorJob(outerScope.coroutineContext.job)
+    private val scope = CoroutineScope(outerScope.coroutineContext + job)
+    private var listening: ServerSocket? = null
+
+    override suspend fun start(): Int {
+        val socket = aSocket(sharedSelector).tcp().bind(bind.host, bind.port) { reuseAddress = true }
+        listening = socket
+        scope.launch { accept(socket) }
+        return socket.port
+    }
+
+    override suspend fun stop() {
+        listening?.close()
+        job.cancelAndJoin()
+    }
+
+    private suspend fun accept(listening: ServerSocket) {
+        while (true) {
+            val socket =
+                try {
+                    listening.accept()
+                } catch (e: IOException) {
+                    if (listening.socketContext.isCompleted) return
+                    logger.warn { "event=link_accept_failed cause=${e.javaClass.simpleName}" }
+                    delay(ACCEPT_RETRY)
+                    continue
+                }
+            scope.launch { serve(socket) }
+        }
+    }
+
+    private suspend fun serve(socket: Socket) {
+        val remote = remoteAddress(socket)
+        val frames = FrameSocket(socket, options.maxFrameBytes, clock)
+        try {
+            val handshake = withTimeoutOrNull(options.connectTimeout) { frames.answerGreeting(self, clock) }
+            handshake?.fold({ reportMalformed(remote, it) }, { converse(frames, it, remote) })
+        } catch (e: IOException) {
+            logger.debug { "event=link_ended peer=${remote.host}:${remote.port} cause=${e.javaClass.simpleName}" }
+        } finally {
+            frames.close()
+        }
+    }
+
+    private suspend fun converse(
+        frames: FrameSocket,
+        handshake: Handshake,
+        remote: PeerAddress,
+    ) {
+        val connection = Connection(frames, handshake, remote, options, heartbeats, clock)
+        supervisorScope { ServerConnection(connection, handler, options, this).run() }
+        reportEnd(connection.failureOrNull(), remote)
+    }
+
+    private fun reportEnd(
+        failure: LinkFailure?,
+        remote: PeerAddress,
+    ) {
+        if (failure is LinkFailure.Malformed) reportMalformed(remote, MalformedFrame(failure.detail))
+    }
+
+    private fun reportMalformed(
+        remote: PeerAddress,
+        fault: MalformedFrame,
+    ) {
+        logger.warn { "event=link_malformed peer=${remote.host}:${remote.port} detail=\"${fault.detail}\"" }
+    }
+
+    private fun remoteAddress(socket: Socket): PeerAddress {
+        val address = socket.remoteAddress as? InetSocketAddress
+        return PeerAddress(address?.hostname.orEmpty(), address?.port ?: 0)
+    }
+
+    private companion object {
+        private val ACCEPT_RETRY = 100.milliseconds
+    }
+}
--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/TcpPeerLink.kt
@@ -0,0 +1,112 @@
+package org.chestnutloom.wire.link
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.FlowCollector
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.message.LinkReply
+import org.chestnutloom.wire.message.LinkRequest
+
+/**
+ * Returns a link to the process at [address].
+ *
+ * @param self the identity that this end shows
+ * @param expectedPeerId the gateway id or target id that has to answer, or null when any may
+ * @param scope where the link's work runs; its end closes the link
+ */
+public fun peerLink(
+    address: PeerAddress,
+    self: PeerIdentity,
+    expectedPeerId: String?,
+    heartbeats: HeartbeatSource,
+    options: LinkOptions,
+    clock: Clock,
+    scope: CoroutineScope,
+): PeerLink = TcpPeerLink(Connector(address, self, expectedPeerId, heartbeats, options, clock), scope)
+
+private class TcpPeerLink(
+    private val connector: Connector,
+    outerScope: CoroutineScope,
+) : PeerLink {
+    private val job: Job = SupervisorJob(outerScope.coroutineContext.job)
+    private val scope = CoroutineScope(outerScope.coroutineContext + job)
+    private var attempt: Deferred<Either<LinkFailure, ClientConnection>>? = null
+
+    @Volatile
+    private var connection: ClientConnection? = null
+
+    @Volatile
+    override var lastHeartbeat: Heartbeat? = null
+        private set
+
+    override val address: PeerAddress
+        get() = connector.address
+
+    override val peer: PeerIdentity?
+        get() = connection?.peer
+
+    override fun request(request: LinkRequest): Flow<LinkReply> =
+        flow {
+            val (open, stream) = openStream(request)
+            try {
+                emitReplies(open, stream)
+            } finally {
+                open.release(stream)
+            }
+        }
+
+    override suspend fun close() {
+        connection?.close("the link was closed")
+        job.cancelAndJoin()
+    }
+
+    private suspend fun FlowCollector<LinkReply>.emitReplies(
+        connection: ClientConnection,
+        stream: ClientStream,
+    ) {
+        while (true) {
+            val next = connection.next(stream) ?: return
+            emit(next.reply)
+        }
+    }
+
+    private suspend fun openStream(request: LinkRequest): Pair<ClientConnection, ClientStream> {
+        while (true) {
+            val open = connected().getOrElse { throw LinkException(it) }
+            val stream = open.open(request) ?: continue
+            return open to stream
+        }
+    }
+
+    private suspend fun connected(): Either<LinkFailure, ClientConnection> {
+        connection?.takeIf { it.isOpen }?.let { return it.right() }
+        if (!job.isActive) return LinkFailure.Unreachable(address, "the link was closed").left()
+        return sharedAttempt().await()
+    }
+
+    @Synchronized
+    private fun sharedAttempt(): Deferred<Either<LinkFailure, ClientConnection>> {
+        attempt?.takeIf { !it.isCompleted }?.let { return it }
+        return scope.async { connect() }.also { attempt = it }
+    }
+
+    private suspend fun connect(): Either<LinkFailure, ClientConnection> {
+        connection?.takeIf { it.isOpen }?.let { return it.right() }
+        return connector.connect { lastHeartbeat = it }.onRight { opened ->
+            connection = opened
+            scope.launch { opened.run() }
+        }
+    }
+}
--- /dev/null
+++ b/chestnutloom-wire/src/test/kotlin/org/chestnutloom/wire/link/LinkRig.kt
@@ -0,0 +1,90 @@
+package org.chestnutloom.wire.link
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.time.systemClock
+import org.chestnutloom.wire.message.LinkReply
+import org.chestnutloom.wire.message.LinkRequest
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Makes links and servers for a test, and ends them with it. */
+internal class LinkRig(
+    silence: Duration = 20.seconds,
+    mechanisms: Mechanisms = Mechanisms.ALL,
+    windowBytes: Long = 4096,
+) {
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    val options =
+        LinkOptions(
+            heartbeatInterval = 20.milliseconds,
+            silence = silence,
+            connectTimeout = 2.seconds,
+            mechanisms = mechanisms,
+            windowBytes = windowBytes,
+        )
+    val beats = java.util.concurrent.ConcurrentLinkedQueue<Heartbeat>()
+
+    fun link(
+        port: Int,
+        expected: String? = null,
+    ): PeerLink =
+        peerLink(
+            PeerAddress(loopback, port),
+            identity("caller"),
+            expected,
+            { Heartbeat(0, proofAgeMs = 5) },
+            options,
+            systemClock(),
+            scope,
+        )
+
+    fun server(
+        id: String = "s1",
+        answer: (LinkRequest) -> Flow<LinkReply>,
+    ): LinkServer {
+        val handler =
+            object : LinkHandler {
+                override fun handle(
+                    peer: PeerIdentity,
+                    request: LinkRequest,
+                ): Flow<LinkReply> = answer(request)
+
+                override fun heartbeat(
+                    peer: PeerIdentity,
+                    beat: Heartbeat,
+                ) {
+                    beats.add(beat)
+                }
+            }
+        val bind = PeerAddress(loopback, 0)
+        return linkServer(
+            bind,
+            identity(id),
+            handler,
+            { Heartbeat(0, configVersion = 7) },
+            options,
+            systemClock(),
+            scope,
+        )
+    }
+}
+
+/** Runs [block] with a rig under a generous limit. */
+internal fun withRig(
+    rig: LinkRig = LinkRig(),
+    block: suspend LinkRig.() -> Unit,
+) {
+    try {
+        runBlocking(Dispatchers.Default) { withTimeout(60.seconds) { rig.block() } }
+    } finally {
+        rig.scope.cancel()
+    }
+}
--- /dev/null
+++ b/chestnutloom-wire/src/test/kotlin/org/chestnutloom/wire/link/LinkSpec.kt
@@ -0,0 +1,207 @@
+package org.chestnutloom.wire.link
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.asFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.flowOf
+import kotlinx.coroutines.flow.map
+import kotlinx.coroutines.flow.onEach
+import kotlinx.coroutines.flow.single
+import kotlinx.coroutines.flow.toList
+import kotlinx.coroutines.withTimeout
+import org.chestnutloom.id.CallId
+import org.chestnutloom.wire.message.AttachCall
+import org.chestnutloom.wire.message.CallChunk
+import org.chestnutloom.wire.message.Done
+import org.chestnutloom.wire.message.LinkRequest
+import org.chestnutloom.wire.message.ProbeStore
+import java.io.IOException
+import java.net.ServerSocket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class LinkSpec :
+    DescribeSpec({
+        describe("a link") {
+            it("carries one request and its replies") {
+                withRig {
+                    val port = server { chunks(it) }.start()
+                    val replies = link(port).request(AttachCall(CallId("a"), 3)).toList()
+                    replies shouldContainExactly (0 until 3).map { CallChunk(it, "a") }
+                }
+            }
+
+            it("keeps many streams apart") {
+                withRig {
+                    val link = link(server { chunks(it) }.start())
+                    coroutineScope {
+                        (1..200)
+                            .map { n -> async { link.request(AttachCall(CallId("c$n"), n)).toList() to n } }
+                            .awaitAll()
+                            .forEach { (replies, n) -> replies shouldBe (0 until n).map { CallChunk(it, "c$n") } }
+                    }
+                }
+            }
+
+            it("gives each end the other's identity and heartbeats") {
+                withRig {
+                    val link = link(server { flowOf(Done) }.start(), expected = "s1")
+                    link.request(ProbeStore).single()
+                    link.peer shouldBe identity("s1")
+                    until { link.lastHeartbeat?.configVersion == 7L }
+                    until { beats.isNotEmpty() }
+                    (beats.first().proofAgeMs!! >= 5) shouldBe true
+                }
+            }
+
+            it("holds back the sender of a stream that nobody reads, and no other stream") {
+                withRig {
+                    val sent = AtomicInteger()
+                    val endless = { _: LinkRequest ->
+                        generateSequence(
+                            0,
+                        ) { it + 1 }.asFlow().map { CallChunk(it, "x".repeat(100)) }.onEach { sent.incrementAndGet() }
+                    }
+                    val link = link(server { if (it is ProbeStore) flowOf(Done) else endless(it) }.start())
+                    val firstRead = CompletableDeferred<Unit>()
+                    coroutineScope {
+                        val slow =
+                            async {
+                                link.request(AttachCall(CallId("a"), 0)).first {
+                                    firstRead.complete(Unit)
+                                    awaitCancellation()
+                                }
+                            }
+                        firstRead.await()
+                        repeat(100) { link.request(ProbeStore).single() shouldBe Done }
+                        slow.cancel()
+                    }
+                    (sent.get() * 100 < options.windowBytes * 2) shouldBe true
+                }
+            }
+
+            it("cancels the handler when the caller stops reading") {
+                withRig {
+                    val cancelled = CompletableDeferred<Unit>()
+                    val port =
+                        server {
+                            flow {
+                                emit(Done)
+                                try {
+                                    awaitCancellation()
+                                } finally {
+                                    cancelled.complete(Unit)
+                                }
+                            }
+                        }.start()
+                    link(port).request(ProbeStore).first() shouldBe Done
+                    cancelled.await()
+                }
+            }
+
+            it("reports a handler's failure and lives on") {
+                withRig {
+                    val link =
+                        link(
+                            server { request ->
+                                flow {
+                                    if (request is ProbeStore) throw IOException("secret")
+                                    withTimeout(1.milliseconds) { awaitCancellation() }
+                                }
+                            }.start(),
+                        )
+                    failureOf { link.request(ProbeStore).toList() }.shouldBeInstanceOf<LinkFailure.Lost>()
+                    val timedOut = failureOf { link.request(AttachCall(CallId("a"), 0)).toList() }
+                    timedOut.shouldBeInstanceOf<LinkFailure.Lost>().detail shouldBe "TimeoutCancellationException"
+                }
+            }
+        }
+
+        describe("a link that cannot connect") {
+            it("tells a refused connection from a silent process and a wrong one") {
+                withRig {
+                    val free = ServerSocket(0).use { it.localPort }
+                    failureOf { link(free).request(ProbeStore).toList() }.shouldBeInstanceOf<LinkFailure.Refused>()
+                    ServerSocket(0).use { silent ->
+                        val failure = failureOf { link(silent.localPort).request(ProbeStore).toList() }
+                        failure.shouldBeInstanceOf<LinkFailure.Unreachable>()
+                    }
+                    val port = server("s2") { flowOf(Done) }.start()
+                    val failure = failureOf { link(port, expected = "s1").request(ProbeStore).toList() }
+                    failure shouldBe LinkFailure.WrongPeer("s1", identity("s2"))
+                }
+            }
+        }
+
+        describe("a lost connection") {
+            it("fails open streams, and the next request connects anew") {
+                withRig {
+                    val first = server { flow { awaitCancellation() } }
+                    val port = first.start()
+                    val link = link(port)
+                    coroutineScope {
+                        val open = async { failureOf { link.request(ProbeStore).toList() } }
+                        until { link.peer != null }
+                        first.stop()
+                        open.await().shouldBeInstanceOf<LinkFailure.Lost>()
+                    }
+                    val failure = failureOf { link.request(ProbeStore).toList() }
+                    failure.shouldBeInstanceOf<LinkFailure.Refused>()
+                }
+            }
+
+            it("is found by silence, and the next request uses a new connection") {
+                withRig(LinkRig(silence = 200.milliseconds)) {
+                    ServerSocket(0).use { listening ->
+                        val link = link(listening.localPort)
+                        repeat(2) {
+                            coroutineScope {
+                                val open = async { failureOf { link.request(ProbeStore).toList() } }
+                                RawPeer.accept(listening, "s1")
+                                val failure = open.await().shouldBeInstanceOf<LinkFailure.Lost>()
+                                failure.detail.contains("silent") shouldBe true
+                            }
+                        }
+                    }
+                }
+            }
+
+            it("is found by silence also while a peer that reads nothing blocks the writer") {
+                withRig(LinkRig(silence = 200.milliseconds)) {
+                    ServerSocket(0).use { listening ->
+                        val link = link(listening.localPort)
+                        val big = AttachCall(CallId("x".repeat(1_000_000)), 0)
+                        coroutineScope {
+                            val open = (1..100).map { async { failureOf { link.request(big).toList() } } }
+                            RawPeer.accept(listening, "s1")
+                            val (lost, unsent) = open.awaitAll().partition { it is LinkFailure.Lost }
+                            lost.shouldNotBeEmpty()
+                            unsent.forEach { it.shouldBeInstanceOf<LinkFailure.Unreachable>() }
+                        }
+                    }
+                }
+            }
+        }
+    })
+
+private fun chunks(request: LinkRequest) =
+    (request as AttachCall).let { asked -> (0 until asked.fromChunk).asFlow().map { CallChunk(it, asked.id.value) } }
+
+internal suspend fun failureOf(block: suspend () -> Unit): LinkFailure = shouldThrow<LinkException> { block() }.failure
+
+internal suspend fun until(condition: () -> Boolean) {
+    withTimeout(30.seconds) { while (!condition()) delay(5.milliseconds) }
+}
