Contract: add the routing policy to the gateway's settings

Cause: the arms of the routing comparison are chosen when a gateway starts, and GatewaySettings had no field for it. Ruled out: a setting of the environment document, since policies are compared between processes of one environment. Change: GatewaySettings.routingPolicy (cost, least-loaded, random), with the pure policies in org.chestnutloom.route.

--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/GatewaySettings.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/GatewaySettings.kt
@@ -2,6 +2,7 @@
 
 import org.chestnutloom.id.GatewayId
 import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.route.RoutingPolicyKind
 import org.chestnutloom.wire.link.PeerAddress
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -20,6 +21,7 @@
  * @property pollInterval how often the head row is read
  * @property heartbeatInterval how often each link carries a heartbeat
  * @property linkSilence how long a link may be silent before it counts as lost
+ * @property routingPolicy how calls are spread over targets
  * @property stopTimeout how long a planned stop waits for requests under way
  */
 public data class GatewaySettings(
@@ -40,6 +42,7 @@
     public val linkSilence: Duration = 2.seconds,
     public val connectTimeout: Duration = 1.seconds,
     public val storeTimeout: Duration = 1.seconds,
+    public val routingPolicy: RoutingPolicyKind = RoutingPolicyKind.COST,
     public val stopTimeout: Duration = 60.seconds,
     public val mechanisms: Mechanisms = Mechanisms.ALL,
 )
--- /dev/null
+++ b/chestnutloom/src/main/kotlin/org/chestnutloom/route/CostPolicy.kt
@@ -0,0 +1,65 @@
+package org.chestnutloom.route
+
+import kotlin.random.Random
+
+/**
+ * Chooses the target where a call is expected to get its first token earliest.
+ *
+ * The expected time is the wait in the target's queue plus the prefill of the prompt tokens that the target does not
+ * hold in its cache. Among targets that are nearly as fast, one in the gateway's failure domain is preferred, then the
+ * one with the fewest calls under way.
+ */
+internal class CostPolicy(
+    private val random: Random,
+) : RoutingPolicy {
+    override fun choose(
+        query: RouteQuery,
+        candidates: List<TargetView>,
+    ): TargetView? {
+        val costs = candidates.associateWith { costMs(query, it) }
+        val least = costs.values.minOrNull() ?: return null
+        val limit = least + maxOf(TIE_MS, least * TIE_RATIO)
+        val near = costs.filterValues { it <= limit }.keys
+        val local = near.filter { it.failureDomain == query.failureDomain }.ifEmpty { near }
+        return leastBusy(local)
+    }
+
+    private fun leastBusy(targets: Collection<TargetView>): TargetView {
+        val fewest = targets.minOf(::callsUnderWay)
+        return targets.filter { callsUnderWay(it) == fewest }.random(random)
+    }
+
+    private fun costMs(
+        query: RouteQuery,
+        target: TargetView,
+    ): Double {
+        val uncached = (query.promptTokens - target.cachedTokens).coerceAtLeast(0)
+        return waitMs(target) + prefillMs(target, uncached)
+    }
+
+    private fun waitMs(target: TargetView): Double {
+        val reported = target.expectedWaitMs.toDouble()
+        if (target.sentSince == 0) return reported
+        val excess = callsUnderWay(target) - target.maxRunningCalls
+        val queueing = excess.coerceIn(0, target.sentSince) * QUEUED_CALL_MS
+        return reported + queueing + prefillMs(target, target.sentTokensSince)
+    }
+
+    private fun prefillMs(
+        target: TargetView,
+        tokens: Long,
+    ): Double {
+        val speed = target.prefillTokensPerSecond.takeIf { it > 0 } ?: ASSUMED_PREFILL_TOKENS_PER_SECOND
+        return tokens * MS_PER_SECOND / speed
+    }
+
+    private fun callsUnderWay(target: TargetView): Int = target.callsInFlight + target.sentSince
+
+    private companion object {
+        const val TIE_MS = 2.0
+        const val TIE_RATIO = 0.05
+        const val QUEUED_CALL_MS = 50.0
+        const val ASSUMED_PREFILL_TOKENS_PER_SECOND = 8_000.0
+        const val MS_PER_SECOND = 1_000.0
+    }
+}
--- /dev/null
+++ b/chestnutloom/src/main/kotlin/org/chestnutloom/route/LeastLoadedPolicy.kt
@@ -0,0 +1,19 @@
+package org.chestnutloom.route
+
+import kotlin.random.Random
+
+/** Chooses the target with the fewest calls under way for its size. */
+internal class LeastLoadedPolicy(
+    private val random: Random,
+) : RoutingPolicy {
+    override fun choose(
+        query: RouteQuery,
+        candidates: List<TargetView>,
+    ): TargetView? {
+        val least = candidates.minOfOrNull(::load) ?: return null
+        return candidates.filter { load(it) == least }.random(random)
+    }
+
+    private fun load(target: TargetView): Double =
+        (target.callsInFlight + target.sentSince).toDouble() / target.maxRunningCalls.coerceAtLeast(1)
+}
--- /dev/null
+++ b/chestnutloom/src/main/kotlin/org/chestnutloom/route/RouteQuery.kt
@@ -0,0 +1,12 @@
+package org.chestnutloom.route
+
+/**
+ * The call that needs a target.
+ *
+ * @property promptTokens estimated tokens of the prompt; 0 for tool calls
+ * @property failureDomain the failure domain of the gateway that sends the call
+ */
+public data class RouteQuery(
+    public val promptTokens: Long,
+    public val failureDomain: String,
+)
