--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/RequestPath.kt
@@ -0,0 +1,172 @@
+package org.chestnutloom.gateway
+
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.chestnutloom.gateway.body.Redactor
+import org.chestnutloom.gateway.call.CallRunner
+import org.chestnutloom.gateway.call.CrashWatch
+import org.chestnutloom.gateway.call.LiveCalls
+import org.chestnutloom.gateway.call.SidecarNotices
+import org.chestnutloom.gateway.call.SidecarPool
+import org.chestnutloom.gateway.call.SidecarSettingsFeed
+import org.chestnutloom.gateway.call.TargetPicker
+import org.chestnutloom.gateway.call.TokenRetryGate
+import org.chestnutloom.gateway.http.CallerApi
+import org.chestnutloom.gateway.http.HttpEdge
+import org.chestnutloom.gateway.http.OpenApi
+import org.chestnutloom.gateway.http.Responder
+import org.chestnutloom.gateway.ingress.OneCall
+import org.chestnutloom.gateway.ingress.ProgramRouter
+import org.chestnutloom.gateway.program.AbandonmentSweep
+import org.chestnutloom.gateway.program.FamilyRegistry
+import org.chestnutloom.gateway.program.GuardedCalls
+import org.chestnutloom.gateway.program.ProgramActivity
+import org.chestnutloom.gateway.program.ProgramEnder
+import org.chestnutloom.gateway.program.ProgramHost
+import org.chestnutloom.gateway.program.ProgramOpener
+import org.chestnutloom.gateway.program.ProgramStore
+import org.chestnutloom.gateway.program.TurnFinisher
+import org.chestnutloom.gateway.program.TurnService
+import org.chestnutloom.gateway.program.TurnStarter
+import org.chestnutloom.gateway.trace.Tracing
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.route.routingPolicy
+import org.chestnutloom.store.VmEntry
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.link.HeartbeatSource
+import org.chestnutloom.wire.link.PeerLink
+import kotlin.time.Duration.Companion.seconds
+
+/** Assembles the parts that requests go through, from the HTTP server to the links to sidecars. */
+internal class RequestPath(
+    settings: GatewaySettings,
+    private val control: ControlPorts,
+    sidecarLinks: (VmEntry) -> PeerLink,
+    heartbeats: HeartbeatSource,
+    tracing: Tracing,
+    metrics: MeterRegistry,
+    clock: Clock,
+    private val scope: CoroutineScope,
+) {
+    private val mechanisms = settings.mechanisms
+    private val crashes = CrashWatch(mechanisms)
+
+    /** The requests and turns under way. */
+    val work: WorkCounter = WorkCounter()
+
+    /** The links to sidecars. */
+    val pool: SidecarPool = SidecarPool(control.targets, sidecarLinks, crashes, clock, scope)
+    private val notices = SidecarNotices(pool::find, scope)
+    private val liveCalls = LiveCalls(notices)
+    private val feed = SidecarSettingsFeed(pool, control.settings, control.keys, heartbeats, scope)
+    private val picker =
+        TargetPicker(
+            pool = pool,
+            settings = control.settings,
+            policy = routingPolicy(settings.routingPolicy),
+            failureDomain = settings.failureDomain,
+            mechanisms = mechanisms,
+        )
+    private val runner =
+        CallRunner(
+            picker = picker,
+            liveCalls = liveCalls,
+            notices = notices,
+            crashes = crashes,
+            keys = control.keys,
+            proof = control.proof,
+            settings = control.settings,
+            retries = TokenRetryGate(),
+            tracing = tracing,
+            metrics = metrics,
+            mechanisms = mechanisms,
+        )
+    private val store = ProgramStore(control.journal)
+    private val registry = FamilyRegistry(store, control.ownership)
+    private val ender = ProgramEnder(registry, liveCalls, notices, clock)
+    private val finisher = TurnFinisher(registry, ender, notices, clock)
+    private val starter =
+        TurnStarter(
+            registry = registry,
+            ownership = control.ownership,
+            runner = runner,
+            guardedCalls = GuardedCalls(runner, finisher, pool::find),
+            finisher = finisher,
+            tracing = tracing,
+            metrics = metrics,
+            mechanisms = mechanisms,
+            clock = clock,
+            work = work,
+            scope = scope,
+        )
+    private val activity = ProgramActivity(clock)
+    private val sweep = AbandonmentSweep(activity, registry, ender, control.ownership, control.settings, scope)
+    private val host =
+        ProgramHost(
+            registry = registry,
+            store = store,
+            opener = ProgramOpener(clock),
+            ender = ender,
+            turns = TurnService(store, starter, control.keys, mechanisms),
+            activity = activity,
+            settings = control.settings,
+            clock = clock,
+            scope = scope,
+        )
+
+    /** Brings requests to the owners of their programs. */
+    val router: ProgramRouter =
+        ProgramRouter(
+            ownership = control.ownership,
+            host = host,
+            tracing = tracing,
+            metrics = metrics,
+            clock = clock,
+            patience = settings.lease * 2 + ROUTING_MARGIN,
+        )
+
+    private val responder = Responder(metrics)
+    private val redactor = Redactor(mechanisms)
+    private val oneCall = OneCall(runner, notices)
+    private val callers =
+        CallerApi(
+            keys = control.keys,
+            settings = control.settings,
+            admission = control.admission,
+            router = router,
+            oneCall = oneCall,
+            redactor = redactor,
+            responder = responder,
+        )
+
+    /** The HTTP server for callers. */
+    val edge: HttpEdge =
+        HttpEdge(
+            bind = settings.http,
+            callers = callers,
+            open = OpenApi(control.settings, oneCall, redactor, responder),
+            responder = responder,
+            work = work,
+            tracing = tracing,
+            metrics = metrics,
+            clock = clock,
+        )
+
+    /** Starts all parts and returns the HTTP port. */
+    suspend fun start(): Int {
+        pool.start()
+        feed.start()
+        sweep.start()
+        if (mechanisms.has(Mechanism.WITHDRAWAL_CANCEL)) cancelWithdrawn()
+        return edge.start()
+    }
+
+    private fun cancelWithdrawn() {
+        scope.launch { control.keys.withdrawals.collect { liveCalls.cancelKey(it) } }
+    }
+
+    private companion object {
+        val ROUTING_MARGIN = 4.seconds
+    }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/call/SidecarNotices.kt
@@ -0,0 +1,84 @@
+package org.chestnutloom.gateway.call
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.firstOrNull
+import kotlinx.coroutines.launch
+import org.chestnutloom.id.CallId
+import org.chestnutloom.id.ProgramId
+import org.chestnutloom.id.TargetId
+import org.chestnutloom.platform.log.warnEvent
+import org.chestnutloom.wire.link.LinkException
+import org.chestnutloom.wire.link.LinkFailure
+import org.chestnutloom.wire.message.CancelCall
+import org.chestnutloom.wire.message.EndProgram
+import org.chestnutloom.wire.message.ForgetCalls
+import org.chestnutloom.wire.message.LinkRequest
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Sends sidecars what they need to know without holding up the request that led to it. */
+internal class SidecarNotices(
+    private val findSidecar: (TargetId) -> Sidecar?,
+    private val scope: CoroutineScope,
+) {
+    /** Asks [sidecar] to cancel the call [id]. */
+    fun cancel(
+        sidecar: Sidecar,
+        id: CallId,
+    ) = send(sidecar, CancelCall(id))
+
+    /** Tells [sidecar] that the answer of the call [id] is durable. */
+    fun forget(
+        sidecar: Sidecar,
+        id: CallId,
+    ) = send(sidecar, ForgetCalls(listOf(id)))
+
+    /** Tells the sidecars of [targets] that [program] is gone. */
+    fun endProgram(
+        program: ProgramId,
+        targets: Collection<TargetId>,
+    ) = targets.mapNotNull(findSidecar).forEach { send(it, EndProgram(program)) }
+
+    private fun send(
+        sidecar: Sidecar,
+        request: LinkRequest,
+    ) {
+        scope.launch {
+            var pause = FIRST_PAUSE
+            repeat(SENDINGS) {
+                val failure = trySend(sidecar, request) ?: return@launch
+                if (it == SENDINGS - 1) logGivenUp(sidecar, request, failure)
+                delay(pause)
+                pause *= 2
+            }
+        }
+    }
+
+    private suspend fun trySend(
+        sidecar: Sidecar,
+        request: LinkRequest,
+    ): LinkFailure? =
+        try {
+            sidecar.link.request(request).firstOrNull()
+            null
+        } catch (exception: LinkException) {
+            exception.failure
+        }
+
+    private fun logGivenUp(
+        sidecar: Sidecar,
+        request: LinkRequest,
+        failure: LinkFailure,
+    ) {
+        val kind = request::class.simpleName
+        logger.warnEvent("sidecar_notice_failed", "target" to sidecar.id, "notice" to kind, "failure" to failure)
+    }
+
+    private companion object {
+        const val SENDINGS = 6
+        val FIRST_PAUSE = 100.milliseconds
+    }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/call/SidecarPool.kt
@@ -0,0 +1,125 @@
+package org.chestnutloom.gateway.call
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.chestnutloom.gateway.control.TargetDirectory
+import org.chestnutloom.id.TargetId
+import org.chestnutloom.store.VmEntry
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.link.LinkException
+import org.chestnutloom.wire.link.LinkFailure
+import org.chestnutloom.wire.link.PeerLink
+import org.chestnutloom.wire.message.LinkReply
+import org.chestnutloom.wire.message.LoadReport
+import org.chestnutloom.wire.message.WatchLoad
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Keeps one link to the sidecar of each listed target and watches its load. */
+internal class SidecarPool(
+    private val directory: TargetDirectory,
+    private val linkFactory: (VmEntry) -> PeerLink,
+    private val crashes: CrashWatch,
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+    private val refreshInterval: Duration = REFRESH_INTERVAL,
+) {
+    private val members = ConcurrentHashMap<TargetId, Member>()
+
+    /** Called with each sidecar when it is reached for the first time or again. */
+    @Volatile
+    var onReached: suspend (Sidecar) -> Unit = {}
+
+    /** Starts to follow the list of targets. */
+    fun start() {
+        scope.launch {
+            while (isActive) {
+                refresh()
+                delay(refreshInterval)
+            }
+        }
+    }
+
+    /** Returns the sidecar of [id], or null when the target is not listed. */
+    fun find(id: TargetId): Sidecar? = members[id]?.sidecar
+
+    /** Returns the sidecars of all listed targets. */
+    fun all(): List<Sidecar> = members.values.map { it.sidecar }
+
+    /** Matches the links to the list of targets as it is now. */
+    suspend fun refresh() {
+        val listed = directory.targets().associateBy { TargetId(it.id) }
+        members.keys.filter { it !in listed }.forEach { remove(it) }
+        listed.forEach { (id, entry) -> update(id, entry) }
+    }
+
+    private suspend fun update(
+        id: TargetId,
+        entry: VmEntry,
+    ) {
+        val known = members[id]?.sidecar
+        if (known != null && known.entry.host == entry.host && known.entry.port == entry.port) {
+            known.entry = entry
+            return
+        }
+        remove(id)
+        val sidecar = Sidecar(entry, linkFactory(entry))
+        members[id] = Member(sidecar, scope.launch { watch(sidecar) })
+    }
+
+    private suspend fun remove(id: TargetId) {
+        val member = members.remove(id) ?: return
+        member.watch.cancel()
+        member.sidecar.link.close()
+    }
+
+    private suspend fun watch(sidecar: Sidecar) {
+        var pause = MIN_PAUSE
+        while (true) {
+            val before = sidecar.load().reportedAt
+            val failure = watchOnce(sidecar)
+            sidecar.lost()
+            crashes.linkLost(sidecar.id, failure)
+            pause = if (sidecar.load().reportedAt > before) MIN_PAUSE else (pause * 2).coerceAtMost(MAX_PAUSE)
+            delay(pause)
+        }
+    }
+
+    private suspend fun watchOnce(sidecar: Sidecar): LinkFailure? =
+        try {
+            collectReports(sidecar, sidecar.link.request(WatchLoad))
+            null
+        } catch (exception: LinkException) {
+            exception.failure
+        }
+
+    private suspend fun collectReports(
+        sidecar: Sidecar,
+        reports: Flow<LinkReply>,
+    ) {
+        var isFirst = true
+        reports.collect { reply ->
+            if (reply !is LoadReport) return@collect
+            sidecar.reported(reply, clock.elapsed())
+            sidecar.incarnation?.let { crashes.reported(sidecar.id, it, reply) }
+            if (isFirst) scope.launch { onReached(sidecar) }
+            isFirst = false
+        }
+    }
+
+    private class Member(
+        val sidecar: Sidecar,
+        val watch: Job,
+    )
+
+    private companion object {
+        val REFRESH_INTERVAL = 250.milliseconds
+        val MIN_PAUSE = 50.milliseconds
+        val MAX_PAUSE = 1000.milliseconds
+    }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/call/TargetPicker.kt
@@ -0,0 +1,121 @@
+package org.chestnutloom.gateway.call
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.call.CallKind
+import org.chestnutloom.config.EnvironmentSettings
+import org.chestnutloom.gateway.control.SettingsSource
+import org.chestnutloom.id.TargetId
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.route.RouteQuery
+import org.chestnutloom.route.RoutingPolicy
+import org.chestnutloom.route.TargetView
+import org.chestnutloom.store.VmState
+import org.chestnutloom.wire.message.LoadReport
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Chooses a sidecar for each sending of a call. */
+internal class TargetPicker(
+    private val pool: SidecarPool,
+    private val settings: SettingsSource,
+    private val policy: RoutingPolicy,
+    private val failureDomain: String,
+    private val mechanisms: Mechanisms,
+) {
+    /** Returns a sidecar for [plan] outside [excluded], waiting shortly for one, or null. */
+    suspend fun pick(
+        plan: CallPlan,
+        excluded: Set<TargetId>,
+    ): Sidecar? =
+        pickNow(plan, excluded) ?: withTimeoutOrNull(MAX_WAIT) {
+            var picked: Sidecar? = null
+            while (picked == null) {
+                delay(CHECK_INTERVAL)
+                picked = pickNow(plan, excluded) ?: pickNow(plan, emptySet())
+            }
+            picked
+        }
+
+    /** Returns a sidecar for [plan] outside [excluded] at once, or null. */
+    fun pickNow(
+        plan: CallPlan,
+        excluded: Set<TargetId>,
+    ): Sidecar? {
+        val offered = settings.current.value?.settings ?: return null
+        val candidates = pool.all().filter { it.id !in excluded && canServe(it, plan, offered) }
+        val views = candidates.mapNotNull { view(it, plan) }
+        val chosen = policy.choose(RouteQuery(plan.promptTokens, failureDomain), views) ?: return null
+        return candidates.first { it.id == chosen.id }
+    }
+
+    private fun canServe(
+        sidecar: Sidecar,
+        plan: CallPlan,
+        offered: EnvironmentSettings,
+    ): Boolean {
+        val load = sidecar.load()
+        val report = load.report ?: return false
+        val isUp = load.isWatched && report.targetReachable
+        return isUp && !isLeaving(sidecar, report) && isOffered(sidecar.id, plan, offered) && serves(report, plan)
+    }
+
+    private fun isLeaving(
+        sidecar: Sidecar,
+        report: LoadReport,
+    ): Boolean = mechanisms.has(Mechanism.DRAIN) && (report.draining || sidecar.entry.state == VmState.LEAVING)
+
+    private fun isOffered(
+        target: TargetId,
+        plan: CallPlan,
+        offered: EnvironmentSettings,
+    ): Boolean =
+        when (plan.kind) {
+            CallKind.MODEL -> plan.model in offered.targets[target]?.models.orEmpty()
+            CallKind.TOOL -> target in offered.services[plan.service]?.targets.orEmpty()
+        }
+
+    private fun serves(
+        report: LoadReport,
+        plan: CallPlan,
+    ): Boolean =
+        when (plan.kind) {
+            CallKind.MODEL -> report.models.isEmpty() || plan.model in report.models
+            CallKind.TOOL -> report.services.isEmpty() || plan.service in report.services
+        }
+
+    private fun view(
+        sidecar: Sidecar,
+        plan: CallPlan,
+    ): TargetView? {
+        val load = sidecar.load()
+        val report = load.report ?: return null
+        return TargetView(
+            id = sidecar.id,
+            failureDomain = sidecar.entry.failureDomain,
+            expectedWaitMs = report.expectedWaitMs,
+            callsInFlight = report.queuedCalls + report.runningCalls,
+            maxRunningCalls = report.maxRunningCalls,
+            sentSince = load.sentSince,
+            sentTokensSince = load.sentTokensSince,
+            prefillTokensPerSecond = report.prefillTokensPerSecond,
+            cachedTokens = cachedTokens(sidecar, plan, report),
+        )
+    }
+
+    private fun cachedTokens(
+        sidecar: Sidecar,
+        plan: CallPlan,
+        report: LoadReport,
+    ): Long {
+        val reported = plan.program?.let { report.cachedPrograms[it] }
+        if (reported != null) return reported
+        return if (plan.lastTarget == sidecar.id) plan.lastPromptTokens else 0
+    }
+
+    private companion object {
+        val CHECK_INTERVAL = 50.milliseconds
+        val MAX_WAIT = 2.seconds
+    }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/http/BodyReader.kt
@@ -0,0 +1,102 @@
+package org.chestnutloom.gateway.http
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.right
+import io.ktor.http.HttpHeaders
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.receiveChannel
+import io.ktor.utils.io.readRemaining
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
+import kotlinx.io.readByteArray
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import org.chestnutloom.call.Execution
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.gateway.body.badRequest
+import java.nio.ByteBuffer
+import java.nio.charset.CharacterCodingException
+import kotlin.time.Duration.Companion.seconds
+
+private val READ_TIMEOUT = 30.seconds
+private const val MAX_NESTING = 64
+
+/** Reads the whole body of [call] as text, up to [maxBytes]. */
+internal suspend fun readText(
+    call: ApplicationCall,
+    maxBytes: Long,
+): Either<Refusal, String> =
+    either {
+        if (!hasBody(call)) return@either ""
+        val announced = call.request.headers[HttpHeaders.ContentLength]?.toLongOrNull()
+        ensure(announced == null || announced <= maxBytes) { tooLarge(maxBytes) }
+        val bytes = readBytes(call, maxBytes).bind()
+        ensure(bytes.size <= maxBytes) { tooLarge(maxBytes) }
+        ensure(announced == null || bytes.size.toLong() == announced) { badRequest("the body was cut off") }
+        decode(bytes).bind()
+    }
+
+/** Reads the whole body of [call] as a JSON object, up to [maxBytes]. */
+internal suspend fun readObject(
+    call: ApplicationCall,
+    maxBytes: Long,
+): Either<Refusal, JsonObject> =
+    either {
+        val text = readText(call, maxBytes).bind()
+        ensure(nesting(text) <= MAX_NESTING) { badRequest("the body is nested too deeply") }
+        parseObject(text).bind()
+    }
+
+private fun hasBody(call: ApplicationCall): Boolean {
+    val headers = call.request.headers
+    val length = headers[HttpHeaders.ContentLength]
+    return (length != null && length != "0") || HttpHeaders.TransferEncoding in headers
+}
+
+private suspend fun readBytes(
+    call: ApplicationCall,
+    maxBytes: Long,
+): Either<Refusal, ByteArray> =
+    try {
+        val bytes =
+            withTimeoutOrNull(READ_TIMEOUT) { call.receiveChannel().readRemaining(maxBytes + 1).readByteArray() }
+        bytes?.right() ?: badRequest("the body took too long to arrive").left()
+    } catch (_: IOException) {
+        badRequest("the body was cut off").left()
+    }
+
+private fun decode(bytes: ByteArray): Either<Refusal, String> =
+    try {
+        Charsets.UTF_8
+            .newDecoder()
+            .decode(ByteBuffer.wrap(bytes))
+            .toString()
+            .right()
+    } catch (_: CharacterCodingException) {
+        badRequest("the body is no valid UTF-8").left()
+    }
+
+private fun parseObject(text: String): Either<Refusal, JsonObject> =
+    try {
+        (Json.parseToJsonElement(text) as? JsonObject)?.right() ?: badRequest("the body is no JSON object").left()
+    } catch (_: SerializationException) {
+        badRequest("the body is no valid JSON").left()
+    }
+
+private fun nesting(text: String): Int {
+    var depth = 0
+    var deepest = 0
+    for (character in text) {
+        if (character == '{' || character == '[') deepest = maxOf(deepest, ++depth)
+        if (character == '}' || character == ']') depth--
+    }
+    return deepest
+}
+
+private fun tooLarge(maxBytes: Long): Refusal =
+    Refusal(RefusalCode.BODY_TOO_LARGE, Execution.NOT_RUN, "the body is larger than $maxBytes bytes")
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/http/HttpEdge.kt
@@ -0,0 +1,172 @@
+package org.chestnutloom.gateway.http
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpMethod
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.cio.CIO
+import io.ktor.server.cio.CIOApplicationEngine
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.response.header
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CancellationException
+import kotlinx.io.IOException
+import org.chestnutloom.call.Execution
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.gateway.WorkCounter
+import org.chestnutloom.gateway.trace.Tracing
+import org.chestnutloom.platform.log.warnEvent
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.link.PeerAddress
+import org.chestnutloom.wire.message.ProgramOperation
+import java.util.UUID
+import java.util.concurrent.TimeUnit
+
+private val logger = KotlinLogging.logger {}
+
+/** The HTTP server for callers. */
+internal class HttpEdge(
+    private val bind: PeerAddress,
+    private val callers: CallerApi,
+    private val open: OpenApi,
+    private val responder: Responder,
+    private val work: WorkCounter,
+    private val tracing: Tracing,
+    private val metrics: MeterRegistry,
+    private val clock: Clock,
+) {
+    private val server: EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration> =
+        embeddedServer(CIO, port = bind.port, host = bind.host) { routes() }
+
+    /** Whether new requests with a key are refused because of a planned stop. */
+    @Volatile
+    var isStopping: Boolean = false
+
+    /** Starts to listen and returns the port. */
+    suspend fun start(): Int {
+        server.startSuspend(wait = false)
+        return server.engine
+            .resolvedConnectors()
+            .first()
+            .port
+    }
+
+    /** Closes all connections. */
+    suspend fun stop() {
+        server.stopSuspend(STOP_GRACE_MS, STOP_TIMEOUT_MS)
+    }
+
+    private fun Application.routes() {
+        routing {
+            programRoutes()
+            post("/v1/chat/completions") { exchange(call, "completions") { callers.complete(it) } }
+            get("/v1/models") { exchange(call, "models") { callers.models(it) } }
+            route("/open/{...}") { handle { exchange(call, "open") { open.serve(it) } } }
+            route("{...}") { handle { exchange(call, "unknown") { responder.refuse(it, noRoute()) } } }
+        }
+    }
+
+    private fun Route.programRoutes() =
+        route("/v1/programs") {
+            post { exchange(call, "open_program") { callers.open(it) } }
+            onProgram("/{id}", "read_program", ProgramOperation.READ)
+            onProgram("/{id}/turns/{turn}", "read_turn", ProgramOperation.READ_TURN)
+            onProgram("/{id}/close", "close_program", ProgramOperation.CLOSE)
+            onProgram("/{id}/cancel", "cancel_program", ProgramOperation.CANCEL)
+            post("/{id}/turns/{turn}") {
+                val id = call.parameters["id"]
+                exchange(call, "run_turn") { callers.runTurn(it, id, call.parameters["turn"]) }
+            }
+        }
+
+    private fun Route.onProgram(
+        path: String,
+        name: String,
+        operation: ProgramOperation,
+    ) {
+        val isRead = operation == ProgramOperation.READ || operation == ProgramOperation.READ_TURN
+        val method = if (isRead) HttpMethod.Get else HttpMethod.Post
+        route(path, method) {
+            handle {
+                val parameters = call.parameters
+                exchange(call, name) { callers.onProgram(it, operation, parameters["id"], parameters["turn"]) }
+            }
+        }
+    }
+
+    private suspend fun exchange(
+        call: ApplicationCall,
+        route: String,
+        block: suspend (Exchange) -> Unit,
+    ) {
+        val exchange = exchangeOf(call, route)
+        val startedAt = clock.elapsed()
+        call.response.header(REQUEST_ID_HEADER, exchange.requestId)
+        if (isStopping) call.response.header(HttpHeaders.Connection, "close")
+        work.enter()
+        try {
+            if (isStopping) responder.refuse(exchange, stopping()) else block(exchange)
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (exception: IOException) {
+            logger.warnEvent("caller_gone", "request" to exchange.requestId, "cause" to exception::class.simpleName)
+        } catch (exception: Exception) {
+            refuseDefect(exchange, exception)
+        } finally {
+            work.leave()
+            exchange.span.end()
+            val status = call.response.status()?.value ?: 0
+            val timer = metrics.timer("chestnutloom.http.requests", "route", route, "status", status.toString())
+            timer.record((clock.elapsed() - startedAt).inWholeNanoseconds, TimeUnit.NANOSECONDS)
+        }
+    }
+
+    private suspend fun refuseDefect(
+        exchange: Exchange,
+        exception: Exception,
+    ) {
+        val place = exception.stackTrace.firstOrNull()
+        val fields = arrayOf("request" to exchange.requestId, "route" to exchange.route)
+        logger.warnEvent("request_failed", *fields, "cause" to exception::class.simpleName, "at" to place)
+        val refusal = Refusal(RefusalCode.INTERNAL, Execution.UNKNOWN, "the request failed")
+        if (!exchange.call.response.isCommitted) responder.refuse(exchange, refusal)
+    }
+
+    private fun exchangeOf(
+        call: ApplicationCall,
+        route: String,
+    ): Exchange {
+        val requestId = UUID.randomUUID().toString()
+        val traceParent = call.request.headers[TRACE_PARENT_HEADER]
+        val span = tracing.start("ingress", traceParent, "route" to route, "request" to requestId)
+        return Exchange(call, requestId, bearerOf(call), route, span)
+    }
+
+    private fun bearerOf(call: ApplicationCall): String? {
+        val header = call.request.headers[HttpHeaders.Authorization] ?: return null
+        if (!header.startsWith(BEARER_PREFIX, ignoreCase = true)) return null
+        return header.substring(BEARER_PREFIX.length).trim()
+    }
+
+    private fun stopping(): Refusal =
+        Refusal(RefusalCode.STOPPING, Execution.NOT_RUN, "the gateway is stopping", RETRY_AFTER_MS)
+
+    private fun noRoute(): Refusal = Refusal(RefusalCode.NOT_FOUND, Execution.NOT_RUN, "there is no such route")
+
+    private companion object {
+        const val REQUEST_ID_HEADER = "X-Request-Id"
+        const val TRACE_PARENT_HEADER = "traceparent"
+        const val BEARER_PREFIX = "Bearer "
+        const val RETRY_AFTER_MS = 100L
+        const val STOP_GRACE_MS = 500L
+        const val STOP_TIMEOUT_MS = 2_000L
+    }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/http/OpenApi.kt
@@ -0,0 +1,122 @@
+package org.chestnutloom.gateway.http
+
+import arrow.core.raise.Raise
+import arrow.core.raise.either
+import io.ktor.http.ContentType
+import io.ktor.server.request.contentType
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.path
+import io.ktor.server.request.queryString
+import org.chestnutloom.call.CallKind
+import org.chestnutloom.call.Execution
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.config.EnvironmentSettings
+import org.chestnutloom.config.OpenRoute
+import org.chestnutloom.gateway.body.Redactor
+import org.chestnutloom.gateway.body.crashHash
+import org.chestnutloom.gateway.call.CallPlan
+import org.chestnutloom.gateway.call.CallResult
+import org.chestnutloom.gateway.control.SettingsSource
+import org.chestnutloom.gateway.ingress.OneCall
+import org.chestnutloom.gateway.trace.traceParent
+import org.chestnutloom.id.CallId
+import java.util.UUID
+
+/** Serves the routes that are open to all. */
+internal class OpenApi(
+    private val settings: SettingsSource,
+    private val oneCall: OneCall,
+    private val redactor: Redactor,
+    private val responder: Responder,
+) {
+    /** Runs the request on the plain service that the environment names for its path. */
+    suspend fun serve(exchange: Exchange) {
+        val result = either { run(exchange) }
+        result.onLeft { responder.refuse(exchange, it) }
+    }
+
+    private suspend fun Raise<Refusal>.run(exchange: Exchange) {
+        val inForce = settings.current.value?.settings ?: raise(noSettings())
+        val route = routeOf(exchange, inForce) ?: raise(noRoute())
+        val body = readText(exchange.call, inForce.limits.maxBodyBytes).bind()
+        val plan = plan(exchange, inForce, route, redactor.redact(body, exchange.bearer))
+        when (val result = oneCall.run(plan)) {
+            is CallResult.Refused -> raise(result.refusal)
+            is CallResult.Answered -> respond(exchange, result)
+        }
+    }
+
+    private suspend fun respond(
+        exchange: Exchange,
+        result: CallResult.Answered,
+    ) {
+        val answer = result.answer
+        responder.respondText(exchange, answer.body, answer.status, contentTypeOf(answer.contentType))
+    }
+
+    private fun routeOf(
+        exchange: Exchange,
+        inForce: EnvironmentSettings,
+    ): OpenRoute? {
+        val path =
+            exchange.call.request
+                .path()
+                .removePrefix(PREFIX)
+        val method = exchange.call.request.httpMethod.value
+        return inForce.openRoutes.firstOrNull { it.path == path && it.method.equals(method, ignoreCase = true) }
+    }
+
+    private fun plan(
+        exchange: Exchange,
+        inForce: EnvironmentSettings,
+        route: OpenRoute,
+        body: String,
+    ): CallPlan {
+        val query = redactor.redact(exchange.call.request.queryString(), exchange.bearer)
+        return CallPlan(
+            id = CallId("open-${UUID.randomUUID()}"),
+            kind = CallKind.TOOL,
+            caller = null,
+            accountWeight = 1,
+            program = null,
+            ownerEpoch = 0,
+            idempotent = inForce.services[route.service]?.idempotent ?: false,
+            model = null,
+            service = route.service,
+            method = route.method,
+            path = if (query.isEmpty()) route.path else "${route.path}?$query",
+            body = body,
+            bodyHash = crashHash(null, "${route.path}\n$query\n$body"),
+            stream = false,
+            promptTokens = 0,
+            maxCompletionTokens = 0,
+            programServiceMs = 0,
+            queueTimeout = inForce.limits.queueTimeout,
+            runTimeout = inForce.limits.toolRunTimeout,
+            lastTarget = null,
+            lastPromptTokens = 0,
+            traceParent = exchange.span.traceParent(),
+            contentType = sentContentType(exchange),
+        )
+    }
+
+    private fun sentContentType(exchange: Exchange): String {
+        val type = exchange.call.request.contentType()
+        if (type == ContentType.Any) return "application/octet-stream"
+        return "${type.contentType}/${type.contentSubtype}"
+    }
+
+    private fun contentTypeOf(text: String): ContentType =
+        runCatching { ContentType.parse(text) }.getOrDefault(ContentType.Application.OctetStream)
+
+    private fun noRoute(): Refusal =
+        Refusal(RefusalCode.NOT_FOUND, Execution.NOT_RUN, "there is no such route open to all")
+
+    private fun noSettings(): Refusal =
+        Refusal(RefusalCode.GATEWAY_STALE, Execution.NOT_RUN, "no configuration has been read yet")
+
+    private companion object {
+        const val PREFIX = "/open"
+    }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/AbandonmentSweep.kt
@@ -0,0 +1,57 @@
+package org.chestnutloom.gateway.program
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.withLock
+import org.chestnutloom.gateway.control.OwnershipTable
+import org.chestnutloom.gateway.control.ProgramLocation
+import org.chestnutloom.gateway.control.SettingsSource
+import org.chestnutloom.id.ProgramId
+import org.chestnutloom.program.ProgramState
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Ends programs that nobody used for longer than the environment allows. */
+internal class AbandonmentSweep(
+    private val activity: ProgramActivity,
+    private val registry: FamilyRegistry,
+    private val ender: ProgramEnder,
+    private val ownership: OwnershipTable,
+    private val settings: SettingsSource,
+    private val scope: CoroutineScope,
+    private val interval: Duration = INTERVAL,
+) {
+    /** Starts to look for abandoned programs. */
+    fun start() {
+        scope.launch {
+            while (isActive) {
+                delay(interval)
+                sweep()
+            }
+        }
+    }
+
+    /** Ends the programs that are abandoned now. */
+    suspend fun sweep() {
+        val limit =
+            settings.current.value
+                ?.settings
+                ?.limits
+                ?.abandonAfter ?: return
+        activity.takeIdle(limit).forEach { endIdle(it) }
+    }
+
+    private suspend fun endIdle(program: ProgramId) {
+        val location = ownership.locate(program) as? ProgramLocation.Here ?: return
+        registry.use(program, location.epoch) { family ->
+            val isBusy = family.mutex.withLock { family.running.isNotEmpty() }
+            if (isBusy) activity.touch(program) else ender.end(family, program, null, ProgramState.ABANDONED)
+        }
+    }
+
+    private companion object {
+        val INTERVAL = 1.seconds
+    }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/GuardedCalls.kt
@@ -0,0 +1,119 @@
+package org.chestnutloom.gateway.program
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.sync.withLock
+import org.chestnutloom.call.Execution
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.gateway.call.AttemptOutcome
+import org.chestnutloom.gateway.call.CallPlan
+import org.chestnutloom.gateway.call.CallResult
+import org.chestnutloom.gateway.call.CallRunner
+import org.chestnutloom.gateway.call.Sidecar
+import org.chestnutloom.id.CallId
+import org.chestnutloom.id.Incarnation
+import org.chestnutloom.id.ProgramId
+import org.chestnutloom.id.TargetId
+import org.chestnutloom.platform.log.event
+import org.chestnutloom.program.ProgramState
+import org.chestnutloom.program.TurnIntent
+import org.chestnutloom.program.endedRefusal
+import java.util.UUID
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Runs calls that must not be repeated.
+ *
+ * Before such a call leaves, the program's record durably names the sidecar, its incarnation and the call's id. The call
+ * goes to another sidecar only when it is certain that it did not run and never will under its id.
+ */
+internal class GuardedCalls(
+    private val runner: CallRunner,
+    private val finisher: TurnFinisher,
+    private val findSidecar: (TargetId) -> Sidecar?,
+) {
+    /** Runs [plan] for the turn of [intent] at most once. */
+    suspend fun run(
+        family: Family,
+        intent: TurnIntent,
+        plan: CallPlan,
+    ): CallResult {
+        val excluded = mutableSetOf<TargetId>()
+        var last = CallRunner.noTarget()
+        repeat(MAX_SIDECARS) {
+            runner.mayLeave(plan)?.let { return CallResult.Refused(it) }
+            val sidecar = runner.pick(plan, excluded) ?: return CallResult.Refused(last)
+            val incarnation = sidecar.incarnation ?: return CallResult.Refused(last)
+            val id = CallId("${plan.id.value}.${UUID.randomUUID()}")
+            val sent = intent.copy(call = id, target = sidecar.id, incarnation = incarnation)
+            note(family, plan, sent).onLeft { return CallResult.Refused(it) }
+            val outcome = send(plan, id, sidecar, incarnation)
+            if (outcome is AttemptOutcome.Ended) return CallResult.Answered(outcome.answer, sidecar, id)
+            last = CallRunner.refusalOf(outcome)
+            if (!mayGoElsewhere(last)) return CallResult.Refused(last)
+            excluded += sidecar.id
+        }
+        return CallResult.Refused(last)
+    }
+
+    /** Finds out what became of [orphan], which an earlier owner of [program] sent, and ends its turn. */
+    suspend fun recover(
+        family: Family,
+        program: ProgramId,
+        orphan: TurnIntent,
+        turn: RunningTurn,
+    ) {
+        val sidecar = orphan.target?.let(findSidecar)
+        val outcome =
+            when {
+                orphan.incarnation == null -> AttemptOutcome.NotRun("the call was not sent")
+                sidecar == null -> AttemptOutcome.Lost("the sidecar's VM is gone")
+                else -> runner.recover(orphan.call, sidecar, orphan.incarnation)
+            }
+        logger.event("turn_recovered", "program" to program, "turn" to turn.number, "outcome" to outcome.name())
+        if (outcome is AttemptOutcome.Ended && sidecar != null) {
+            finisher.answered(family, program, turn, CallResult.Answered(outcome.answer, sidecar, orphan.call))
+        } else {
+            finisher.refused(family, program, turn, CallRunner.refusalOf(outcome))
+        }
+    }
+
+    private suspend fun send(
+        plan: CallPlan,
+        id: CallId,
+        sidecar: Sidecar,
+        incarnation: Incarnation,
+    ): AttemptOutcome {
+        val refusal = runner.mayLeave(plan)
+        if (refusal != null) return AttemptOutcome.Refused(refusal)
+        if (sidecar.incarnation != incarnation) return AttemptOutcome.NotRun("the sidecar restarted before the call")
+        return runner.attempt(plan, id, 1, sidecar, incarnation) {}
+    }
+
+    private suspend fun note(
+        family: Family,
+        plan: CallPlan,
+        intent: TurnIntent,
+    ): Either<Refusal, Unit> =
+        family.mutex.withLock {
+            val program = plan.program ?: return@withLock Unit.right()
+            val record = family.load(program).getOrNull() ?: return@withLock ProgramStore.notOwner().left()
+            if (record.state != ProgramState.OPEN) return@withLock record.endedRefusal().left()
+            val noted = record.copy(openTurn = intent)
+            family.commit(listOf(noted))
+        }
+
+    private fun mayGoElsewhere(refusal: Refusal): Boolean =
+        refusal.execution == Execution.NOT_RUN &&
+            refusal.code in setOf(RefusalCode.TARGET_LOST, RefusalCode.OVERLOADED, RefusalCode.STOPPING)
+
+    private fun AttemptOutcome.name(): String = this::class.simpleName.orEmpty()
+
+    private companion object {
+        const val MAX_SIDECARS = 4
+    }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/ProgramEnder.kt
@@ -0,0 +1,113 @@
+package org.chestnutloom.gateway.program
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.sync.withLock
+import org.chestnutloom.call.Execution
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.gateway.call.LiveCalls
+import org.chestnutloom.gateway.call.SidecarNotices
+import org.chestnutloom.id.ClientAccountId
+import org.chestnutloom.id.ProgramId
+import org.chestnutloom.platform.log.event
+import org.chestnutloom.program.ProgramRecord
+import org.chestnutloom.program.ProgramState
+import org.chestnutloom.program.end
+import org.chestnutloom.program.isSettled
+import org.chestnutloom.program.takeBack
+import org.chestnutloom.time.Clock
+
+private val logger = KotlinLogging.logger {}
+
+/** Ends programs with their sub-agents, and gives back to parents what ended sub-agents did not use. */
+internal class ProgramEnder(
+    private val registry: FamilyRegistry,
+    private val liveCalls: LiveCalls,
+    private val notices: SidecarNotices,
+    private val clock: Clock,
+) {
+    /**
+     * Ends [program] in [state] for [account], or for its owner when [account] is null.
+     *
+     * Closing is refused while a turn is under way; the other states stop the calls under way.
+     */
+    suspend fun end(
+        family: Family,
+        program: ProgramId,
+        account: ClientAccountId?,
+        state: ProgramState,
+    ): Either<Refusal, ProgramRecord> =
+        family.mutex.withLock {
+            val record = family.load(program).fold({ return@withLock it.left() }, { it })
+            if (record == null || (account != null && record.account != account)) return@withLock noSuchProgram().left()
+            if (record.state != ProgramState.OPEN) return@withLock record.right()
+            val tree = tree(family, record)
+            if (state == ProgramState.CLOSED && tree.any { it.id in family.running }) return@withLock busy().left()
+            endTree(family, tree, state)
+        }
+
+    /** Returns [record] and those ancestors that change because [record] is settled. */
+    suspend fun withParents(
+        family: Family,
+        record: ProgramRecord,
+    ): List<ProgramRecord> {
+        val parent = record.id.parent
+        if (parent == null || !record.isSettled()) return listOf(record)
+        val parentRecord = family.load(parent).getOrNull() ?: return listOf(record)
+        if (record.id !in parentRecord.granted) return listOf(record)
+        return listOf(record) + withParents(family, parentRecord.takeBack(record))
+    }
+
+    /** Tells sidecars when [record] has ended and nothing of it is under way, so that they free its memory. */
+    fun announceEnd(record: ProgramRecord) {
+        if (record.state == ProgramState.OPEN || record.openTurn != null) return
+        notices.endProgram(record.id, record.servedBy)
+        logger.event("program_ended", "program" to record.id, "state" to record.state)
+    }
+
+    private suspend fun endTree(
+        family: Family,
+        tree: List<ProgramRecord>,
+        state: ProgramState,
+    ): Either<Refusal, ProgramRecord> {
+        val ended = tree.associate { it.id to it.end(state, nowMs()) }.toMutableMap()
+        tree.reversed().forEach { giveBack(ended, it.id) }
+        val root = ended.getValue(tree.first().id)
+        val ancestors = withParents(family, root).drop(1)
+        val changed = ended.values.sortedBy { it.id.value.length } + ancestors
+        return family
+            .commitOrKeep(changed)
+            .onLeft { registry.discard(family) }
+            .onRight { ended.values.forEach(::stopCalls) }
+            .map { root }
+    }
+
+    private fun giveBack(
+        ended: MutableMap<ProgramId, ProgramRecord>,
+        id: ProgramId,
+    ) {
+        val child = ended.getValue(id)
+        val parent = id.parent?.let { ended[it] } ?: return
+        if (child.isSettled()) ended[parent.id] = parent.takeBack(child)
+    }
+
+    private fun stopCalls(record: ProgramRecord) {
+        liveCalls.cancelProgram(record.id)
+        announceEnd(record)
+    }
+
+    private suspend fun tree(
+        family: Family,
+        record: ProgramRecord,
+    ): List<ProgramRecord> {
+        val children = record.granted.keys.mapNotNull { family.load(it).getOrNull() }
+        return listOf(record) + children.flatMap { tree(family, it) }
+    }
+
+    private fun busy() = Refusal(RefusalCode.TURN_IN_PROGRESS, Execution.NOT_RUN, "a turn of the program is under way")
+
+    private fun nowMs(): Long = clock.now().toEpochMilli()
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/ProgramHost.kt
@@ -0,0 +1,152 @@
+package org.chestnutloom.gateway.program
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.raise.either
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.emitAll
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.sync.withLock
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.chestnutloom.call.Execution
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.gateway.body.OpenBody
+import org.chestnutloom.gateway.body.badRequest
+import org.chestnutloom.gateway.body.parseTurnBody
+import org.chestnutloom.gateway.control.Caller
+import org.chestnutloom.gateway.control.SettingsSource
+import org.chestnutloom.program.ProgramRecord
+import org.chestnutloom.program.ProgramState
+import org.chestnutloom.program.TurnRecord
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.message.ForwardRequest
+import org.chestnutloom.wire.message.ForwardedAnswer
+import org.chestnutloom.wire.message.LinkReply
+import org.chestnutloom.wire.message.ProgramOperation
+
+private const val CREATED = 201
+
+/** Serves the requests for programs that this gateway owns. */
+internal class ProgramHost(
+    private val registry: FamilyRegistry,
+    private val store: ProgramStore,
+    private val opener: ProgramOpener,
+    private val ender: ProgramEnder,
+    private val turns: TurnService,
+    private val activity: ProgramActivity,
+    private val settings: SettingsSource,
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+) {
+    /** Serves [request] under the ownership [epoch]: any number of events, then one answer. */
+    fun handle(
+        request: ForwardRequest,
+        epoch: Long,
+    ): Flow<LinkReply> =
+        flow {
+            activity.touch(request.program)
+            registry.use(request.program, epoch) { family -> emitAll(replies(family, request)) }
+        }
+
+    private fun replies(
+        family: Family,
+        request: ForwardRequest,
+    ): Flow<LinkReply> =
+        when (request.operation) {
+            ProgramOperation.RUN_TURN -> runTurn(family, request)
+            ProgramOperation.OPEN -> answer { open(family, request) }
+            ProgramOperation.READ -> answer { read(family, request) }
+            ProgramOperation.READ_TURN -> answer { readTurn(family, request) }
+            ProgramOperation.CLOSE -> answer { end(family, request, ProgramState.CLOSED) }
+            ProgramOperation.CANCEL -> answer { end(family, request, ProgramState.CANCELLED) }
+        }
+
+    private fun runTurn(
+        family: Family,
+        request: ForwardRequest,
+    ): Flow<LinkReply> =
+        flow {
+            turnRequest(request).fold(
+                { emit(refusedAnswer(it)) },
+                { emitAll(turns.run(family, it, it.settings.limits.earlyTurnWait)) },
+            )
+        }
+
+    private fun answer(block: suspend () -> Either<Refusal, ForwardedAnswer>): Flow<LinkReply> =
+        flow {
+            val result = scope.async { block() }.await()
+            emit(result.fold(::refusedAnswer) { it })
+        }
+
+    private suspend fun open(
+        family: Family,
+        request: ForwardRequest,
+    ): Either<Refusal, ForwardedAnswer> =
+        bodyOf(request)
+            .flatMap(OpenBody::parse)
+            .flatMap { opener.open(family, request.program, request.account, it) }
+            .map { jsonAnswer(it.toJson(nowMs()), CREATED) }
+
+    private suspend fun read(
+        family: Family,
+        request: ForwardRequest,
+    ): Either<Refusal, ForwardedAnswer> =
+        either {
+            val record = family.mutex.withLock { family.load(request.program) }.bind()
+            if (record == null || record.account != request.account) raise(noSuchProgram())
+            val wantsHistory = bodyOf(request).bind()[HISTORY_FIELD] == JsonPrimitive(true)
+            jsonAnswer(record.toJson(nowMs(), if (wantsHistory) history(record).bind() else null))
+        }
+
+    private suspend fun history(record: ProgramRecord): Either<Refusal, List<TurnRecord>> =
+        either { (1..record.lastTurn).mapNotNull { store.loadTurn(record.id, it).bind() } }
+
+    private suspend fun readTurn(
+        family: Family,
+        request: ForwardRequest,
+    ): Either<Refusal, ForwardedAnswer> =
+        turns.read(family, request.program, callerOf(request), request.turnNumber ?: 0).map { jsonAnswer(it.toJson()) }
+
+    private suspend fun end(
+        family: Family,
+        request: ForwardRequest,
+        state: ProgramState,
+    ): Either<Refusal, ForwardedAnswer> =
+        ender.end(family, request.program, request.account, state).map { jsonAnswer(it.toJson(nowMs())) }
+
+    private fun turnRequest(request: ForwardRequest): Either<Refusal, TurnRequest> =
+        either {
+            val inForce = settings.current.value?.settings ?: raise(noSettings())
+            val body = parseTurnBody(bodyOf(request).bind(), inForce).bind()
+            val turnNumber = request.turnNumber ?: raise(badRequest("the turn number is missing"))
+            TurnRequest(request.program, turnNumber, callerOf(request), body, inForce, request.traceParent)
+        }
+
+    private fun bodyOf(request: ForwardRequest): Either<Refusal, JsonObject> =
+        either {
+            if (request.body.isEmpty()) return@either JsonObject(emptyMap())
+            try {
+                Json.parseToJsonElement(request.body) as? JsonObject ?: raise(badRequest("the body is no JSON object"))
+            } catch (_: SerializationException) {
+                raise(badRequest("the body is no JSON"))
+            }
+        }
+
+    private fun callerOf(request: ForwardRequest): Caller = Caller(request.account, request.key)
+
+    private fun noSettings(): Refusal =
+        Refusal(RefusalCode.GATEWAY_STALE, Execution.NOT_RUN, "no configuration has been read yet")
+
+    private fun nowMs(): Long = clock.now().toEpochMilli()
+
+    internal companion object {
+        /** Field of the body of a read that asks for the records of all turns. */
+        const val HISTORY_FIELD: String = "history"
+    }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/ProgramOpener.kt
@@ -0,0 +1,67 @@
+package org.chestnutloom.gateway.program
+
+import arrow.core.Either
+import arrow.core.raise.Raise
+import arrow.core.raise.either
+import kotlinx.coroutines.sync.withLock
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.gateway.body.OpenBody
+import org.chestnutloom.gateway.body.badRequest
+import org.chestnutloom.id.ClientAccountId
+import org.chestnutloom.id.ProgramId
+import org.chestnutloom.program.ProgramRecord
+import org.chestnutloom.program.grant
+import org.chestnutloom.time.Clock
+
+/** Opens programs and sub-agents; opening the same program again returns it as it is. */
+internal class ProgramOpener(
+    private val clock: Clock,
+) {
+    /** Opens [program] for [account] as [body] asks. */
+    suspend fun open(
+        family: Family,
+        program: ProgramId,
+        account: ClientAccountId,
+        body: OpenBody,
+    ): Either<Refusal, ProgramRecord> =
+        family.mutex.withLock {
+            either {
+                val known = family.load(program).bind()
+                if (known != null) return@either existing(known, account)
+                val parent = program.parent?.let { parentOf(family, it, account) }
+                create(family, program, account, body, parent)
+            }
+        }
+
+    private fun Raise<Refusal>.existing(
+        known: ProgramRecord,
+        account: ClientAccountId,
+    ): ProgramRecord = if (known.account == account) known else raise(noSuchProgram())
+
+    private suspend fun Raise<Refusal>.parentOf(
+        family: Family,
+        parent: ProgramId,
+        account: ClientAccountId,
+    ): ProgramRecord {
+        val record = family.load(parent).bind()
+        if (record == null || record.account != account) raise(noSuchProgram())
+        return record
+    }
+
+    private suspend fun Raise<Refusal>.create(
+        family: Family,
+        program: ProgramId,
+        account: ClientAccountId,
+        body: OpenBody,
+        parent: ProgramRecord?,
+    ): ProgramRecord {
+        val nowMs = clock.now().toEpochMilli()
+        val granting = parent?.grant(program, body.budget, nowMs)?.bind()
+        val wallTimeMs = minOf(body.budget.wallTimeMs, (parent?.deadlineMs ?: Long.MAX_VALUE) - nowMs)
+        if (body.budget.calls < 1) raise(badRequest("budget.calls must be at least 1"))
+        val record = ProgramRecord(program, account, body.budget.copy(wallTimeMs = wallTimeMs), nowMs, nowMs)
+        val records = listOfNotNull(record, granting)
+        family.commit(records).bind()
+        return record
+    }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/TurnService.kt
@@ -0,0 +1,218 @@
+package org.chestnutloom.gateway.program
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.right
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.emitAll
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.flowOf
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.call.Execution
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.gateway.body.TurnBody
+import org.chestnutloom.gateway.control.Caller
+import org.chestnutloom.gateway.control.KeyDirectory
+import org.chestnutloom.id.ProgramId
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.program.ProgramRecord
+import org.chestnutloom.program.TurnDecision
+import org.chestnutloom.program.TurnRecord
+import org.chestnutloom.program.abandonTurn
+import org.chestnutloom.program.decideTurn
+import org.chestnutloom.program.mismatch
+import org.chestnutloom.wire.message.ForwardedEvent
+import org.chestnutloom.wire.message.LinkReply
+import kotlin.time.Duration
+
+/** Runs the turns of programs in order, each once, and answers repeats from the record. */
+internal class TurnService(
+    private val store: ProgramStore,
+    private val starter: TurnStarter,
+    private val keys: KeyDirectory,
+    private val mechanisms: Mechanisms,
+) {
+    /**
+     * Runs [request] and returns the replies.
+     *
+     * @param earlyTurnWait how long a turn that comes too early waits for the turns before it
+     */
+    fun run(
+        family: Family,
+        request: TurnRequest,
+        earlyTurnWait: Duration,
+    ): Flow<LinkReply> =
+        flow {
+            var step: Step = Step.Again
+            while (step !is Step.Reply) {
+                step = next(family, request, step, earlyTurnWait)
+            }
+            emitAll(step.replies)
+        }
+
+    /** Returns the record of turn [turnNumber] of [program] for [caller]. */
+    suspend fun read(
+        family: Family,
+        program: ProgramId,
+        caller: Caller,
+        turnNumber: Int,
+    ): Either<Refusal, TurnRecord> =
+        either {
+            val record = family.mutex.withLock { family.load(program) }.bind()
+            if (record == null || record.account != caller.account) raise(noSuchProgram())
+            if (record.openTurn?.turnNumber == turnNumber) raise(inProgress(turnNumber))
+            store.loadTurn(program, turnNumber).bind() ?: raise(noSuchTurn(turnNumber))
+        }
+
+    private suspend fun next(
+        family: Family,
+        request: TurnRequest,
+        step: Step,
+        earlyTurnWait: Duration,
+    ): Step =
+        when (step) {
+            is Step.Again -> step(family, request)
+            is Step.Wait -> waitThenStep(family, request, step.seenChanges, earlyTurnWait)
+            is Step.Follow -> follow(step.turn)
+            is Step.Reply -> step
+        }
+
+    private suspend fun follow(turn: RunningTurn): Step {
+        val isAgain = turn.isRecovery && turn.await().refusal?.execution == Execution.NOT_RUN
+        return if (isAgain) Step.Again else Step.Reply(turn.replies())
+    }
+
+    private suspend fun waitThenStep(
+        family: Family,
+        request: TurnRequest,
+        seenChanges: Long,
+        limit: Duration,
+    ): Step {
+        var seen = seenChanges
+        val next =
+            withTimeoutOrNull(limit) {
+                var step: Step
+                do {
+                    family.changes.first { it != seen }
+                    step = step(family, request)
+                    seen = (step as? Step.Wait)?.seenChanges ?: seen
+                } while (step is Step.Wait)
+                step
+            }
+        return next ?: Step.refused(outOfOrder(request.turnNumber))
+    }
+
+    private suspend fun step(
+        family: Family,
+        request: TurnRequest,
+    ): Step =
+        family.mutex.withLock {
+            val record = load(family, request).fold({ return@withLock Step.refused(it) }, { it })
+            val decision = decide(record, request)
+            if (keys.isWithdrawn(request.caller.key)) return@withLock Step.refused(keyWithdrawn(decision))
+            when (decision) {
+                is TurnDecision.Refuse -> Step.refused(decision.refusal)
+                is TurnDecision.Early -> Step.Wait(family.changes.value)
+                is TurnDecision.Recorded -> recorded(request)
+                is TurnDecision.Attach -> attach(family, request)
+                is TurnDecision.Start -> start(family, record, request)
+            }
+        }
+
+    private suspend fun load(
+        family: Family,
+        request: TurnRequest,
+    ): Either<Refusal, ProgramRecord> {
+        val record = family.load(request.program).fold({ return it.left() }, { it })
+        if (record == null || record.account != request.caller.account) return noSuchProgram().left()
+        val orphan = record.openTurn?.takeIf { request.program !in family.running } ?: return record.right()
+        if (!orphan.idempotent) {
+            starter.recover(family, record, orphan)
+            return record.right()
+        }
+        return record.abandonTurn().also(family::put).right()
+    }
+
+    private fun decide(
+        record: ProgramRecord,
+        request: TurnRequest,
+    ): TurnDecision {
+        if (!mechanisms.has(Mechanism.TURN_ORDER)) return TurnDecision.Start
+        return record.decideTurn(request.turnNumber, request.body.hash)
+    }
+
+    private fun attach(
+        family: Family,
+        request: TurnRequest,
+    ): Step {
+        val turn = family.running[request.program] ?: return Step.Wait(family.changes.value)
+        return Step.Follow(turn)
+    }
+
+    private suspend fun start(
+        family: Family,
+        record: ProgramRecord,
+        request: TurnRequest,
+    ): Step = starter.start(family, record, request).fold({ Step.refused(it) }, { Step.Follow(it) })
+
+    private suspend fun recorded(request: TurnRequest): Step {
+        val turn = store.loadTurn(request.program, request.turnNumber).fold({ return Step.refused(it) }, { it })
+        if (turn == null) return Step.refused(noSuchTurn(request.turnNumber))
+        if (turn.bodyHash != request.body.hash) return Step.refused(mismatch(turn.turnNumber))
+        return Step.Reply(replay(turn, request.body))
+    }
+
+    private fun replay(
+        turn: TurnRecord,
+        body: TurnBody,
+    ): Flow<LinkReply> {
+        val refusal = turn.refusal
+        if (refusal != null) return flowOf(refusedAnswer(refusal))
+        return flow {
+            if (body.stream) turn.events.forEachIndexed { index, data -> emit(ForwardedEvent(index, data)) }
+            emit(jsonAnswer(turn.toJson()))
+        }
+    }
+
+    private fun outOfOrder(turnNumber: Int): Refusal {
+        val detail = "turn $turnNumber came before the turn that precedes it has ended"
+        return Refusal(RefusalCode.TURN_OUT_OF_ORDER, Execution.NOT_RUN, detail)
+    }
+
+    private fun inProgress(turnNumber: Int): Refusal =
+        Refusal(RefusalCode.TURN_IN_PROGRESS, Execution.UNKNOWN, "turn $turnNumber is under way")
+
+    private fun noSuchTurn(turnNumber: Int): Refusal =
+        Refusal(RefusalCode.NOT_FOUND, Execution.NOT_RUN, "there is no record of turn $turnNumber")
+
+    private fun keyWithdrawn(decision: TurnDecision): Refusal {
+        val mayHaveRun = decision is TurnDecision.Attach || decision is TurnDecision.Recorded
+        val execution = if (mayHaveRun) Execution.UNKNOWN else Execution.NOT_RUN
+        return Refusal(RefusalCode.UNAUTHORIZED, execution, "the key is withdrawn")
+    }
+
+    private sealed interface Step {
+        class Wait(
+            val seenChanges: Long,
+        ) : Step
+
+        class Follow(
+            val turn: RunningTurn,
+        ) : Step
+
+        class Reply(
+            val replies: Flow<LinkReply>,
+        ) : Step
+
+        data object Again : Step
+
+        companion object {
+            fun refused(refusal: Refusal): Step = Reply(flowOf(refusedAnswer(refusal)))
+        }
+    }
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/TurnStarter.kt
@@ -0,0 +1,159 @@
+package org.chestnutloom.gateway.program
+
+import arrow.core.Either
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.chestnutloom.call.Execution
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.gateway.WorkCounter
+import org.chestnutloom.gateway.call.CallResult
+import org.chestnutloom.gateway.call.CallRunner
+import org.chestnutloom.gateway.control.OwnershipTable
+import org.chestnutloom.gateway.trace.Tracing
+import org.chestnutloom.gateway.trace.end
+import org.chestnutloom.gateway.trace.traceParent
+import org.chestnutloom.id.ProgramId
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.program.Cost
+import org.chestnutloom.program.ProgramRecord
+import org.chestnutloom.program.TurnIntent
+import org.chestnutloom.program.begin
+import org.chestnutloom.time.Clock
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** Starts turns, which run to their end whether or not their caller stays. */
+internal class TurnStarter(
+    private val registry: FamilyRegistry,
+    private val ownership: OwnershipTable,
+    private val runner: CallRunner,
+    private val guardedCalls: GuardedCalls,
+    private val finisher: TurnFinisher,
+    private val tracing: Tracing,
+    private val metrics: MeterRegistry,
+    private val mechanisms: Mechanisms,
+    private val clock: Clock,
+    private val work: WorkCounter,
+    private val scope: CoroutineScope,
+) {
+    /** Reserves what the turn may cost and starts it; the caller holds the family's mutex. */
+    fun start(
+        family: Family,
+        record: ProgramRecord,
+        request: TurnRequest,
+    ): Either<Refusal, RunningTurn> {
+        val intent = intentOf(request)
+        return record.begin(intent, clock.now().toEpochMilli()).map { begun ->
+            val turn = RunningTurn(intent.turnNumber, isRecovery = false)
+            family.running[request.program] = turn
+            family.put(begun)
+            launch(family, request.program, turn) { run(family, begun, intent, turn, request) }
+            turn
+        }
+    }
+
+    /** Starts to find out what became of [orphan], which an earlier owner sent; the caller holds the family's mutex. */
+    fun recover(
+        family: Family,
+        record: ProgramRecord,
+        orphan: TurnIntent,
+    ) {
+        val turn = RunningTurn(orphan.turnNumber, isRecovery = true)
+        family.running[record.id] = turn
+        launch(family, record.id, turn) { guardedCalls.recover(family, record.id, orphan, turn) }
+    }
+
+    private fun launch(
+        family: Family,
+        program: ProgramId,
+        turn: RunningTurn,
+        block: suspend () -> Unit,
+    ) {
+        ownership.enter(program)
+        work.enter()
+        scope.launch {
+            try {
+                registry.use(program, family.epoch) { block() }
+            } finally {
+                turn.finish(refusedAnswer(interrupted()))
+                ownership.leave(program)
+                work.leave()
+            }
+        }
+    }
+
+    private suspend fun run(
+        family: Family,
+        record: ProgramRecord,
+        intent: TurnIntent,
+        turn: RunningTurn,
+        request: TurnRequest,
+    ) {
+        val span = tracing.start("turn", request.traceParent, "program" to request.program.value)
+        span.setAttribute("turn", request.turnNumber.toLong())
+        try {
+            val startedAt = clock.elapsed()
+            val context = ProgramContext(record, family.epoch, clock.now().toEpochMilli())
+            val parent = span.traceParent() ?: request.traceParent
+            val plan = planCall(intent.call, request.body, request.caller, context, request.settings, parent)
+            val result =
+                if (intent.idempotent) {
+                    runner.runIdempotent(plan.copy(idempotent = true)) { turn.emit(it) }
+                } else {
+                    guardedCalls.run(family, intent, plan)
+                }
+            finish(family, request.program, turn, result)
+            recordDuration(request, clock.elapsed() - startedAt)
+            span.end((result as? CallResult.Refused)?.refusal)
+        } catch (exception: CancellationException) {
+            span.end()
+            throw exception
+        }
+    }
+
+    private fun recordDuration(
+        request: TurnRequest,
+        duration: Duration,
+    ) {
+        val timer =
+            metrics.timer(
+                "chestnutloom.turns",
+                "kind",
+                request.body.kind.name
+                    .lowercase(),
+            )
+        timer.record(duration.inWholeNanoseconds, TimeUnit.NANOSECONDS)
+    }
+
+    private suspend fun finish(
+        family: Family,
+        program: ProgramId,
+        turn: RunningTurn,
+        result: CallResult,
+    ) = when (result) {
+        is CallResult.Answered -> finisher.answered(family, program, turn, result)
+        is CallResult.Refused -> finisher.refused(family, program, turn, result.refusal)
+    }
+
+    private fun intentOf(request: TurnRequest): TurnIntent {
+        val body = request.body
+        return TurnIntent(
+            turnNumber = request.turnNumber,
+            bodyHash = body.hash,
+            kind = body.kind,
+            callee = body.callee,
+            call = firstCallId(request.program, request.turnNumber, body),
+            idempotent = body.idempotent || !mechanisms.has(Mechanism.DURABLE_INTENT),
+            reserved = reservation(request),
+        )
+    }
+
+    private fun reservation(request: TurnRequest): Cost =
+        if (mechanisms.has(Mechanism.BUDGET_RESERVATION)) request.body.maximumCost() else Cost()
+
+    private fun interrupted(): Refusal = Refusal(RefusalCode.INTERNAL, Execution.UNKNOWN, "the turn was interrupted")
+}
--- /dev/null
+++ b/chestnutloom-gateway/src/test/kotlin/org/chestnutloom/gateway/Rig.kt
@@ -0,0 +1,122 @@
+package org.chestnutloom.gateway
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import io.opentelemetry.api.OpenTelemetry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonObject
+import org.chestnutloom.gateway.trace.Tracing
+import org.chestnutloom.id.GatewayId
+import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.time.systemClock
+import org.chestnutloom.wire.link.Heartbeat
+import org.chestnutloom.wire.link.PeerAddress
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+
+/** A gateway's request path over HTTP with a control plane and sidecars in memory. */
+internal class Rig(
+    val control: FakeControl = FakeControl(),
+    val sidecars: Map<String, FakeSidecar> = control.entries.associate { it.id to FakeSidecar(it.id) },
+    mechanisms: Mechanisms = Mechanisms.ALL,
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val client = HttpClient.newHttpClient()
+    private val any = PeerAddress("127.0.0.1", 0)
+    val path =
+        RequestPath(
+            settings = GatewaySettings(GatewayId("g1"), "t", "a", any, any, null, "", "", "", mechanisms = mechanisms),
+            control = control.ports(),
+            sidecarLinks = { sidecars.getValue(it.id) },
+            heartbeats = { Heartbeat(0) },
+            tracing = Tracing(OpenTelemetry.noop().getTracer("test")),
+            metrics = SimpleMeterRegistry(),
+            clock = systemClock(),
+            scope = scope,
+        )
+    private var port = 0
+
+    val payEffects
+        get() = sidecars.filterKeys { it.startsWith("pay") }.values.flatMap { it.effects }
+    val modelEffects
+        get() = sidecars.filterKeys { it.startsWith("engine") }.values.flatMap { it.effects }
+
+    suspend fun start(): Rig {
+        port = path.start()
+        return this
+    }
+
+    suspend fun stop() {
+        path.edge.stop()
+        scope.cancel()
+    }
+
+    fun send(
+        method: String,
+        url: String,
+        body: String = "",
+        bearer: String? = FakeControl.WARD_BEARER,
+        headers: Map<String, String> = emptyMap(),
+    ): Answer {
+        val request =
+            HttpRequest
+                .newBuilder(URI("http://127.0.0.1:$port$url"))
+                .timeout(Duration.ofSeconds(30))
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+        if (bearer != null) request.header("Authorization", "Bearer $bearer")
+        headers.forEach { (name, value) -> request.header(name, value) }
+        val response = client.send(request.build(), HttpResponse.BodyHandlers.ofString())
+        return Answer(response.statusCode(), response.body(), response.headers().map())
+    }
+
+    fun openProgram(
+        tokens: Long = 10_000,
+        calls: Long = 10,
+        extra: String = "",
+    ): String {
+        val body = """{"budget":{"tokens":$tokens,"calls":$calls,"wall_time_ms":60000}$extra}"""
+        return send("POST", "/v1/programs", body).json().text("id")
+    }
+
+    fun turn(
+        program: String,
+        number: Int,
+        body: String,
+        bearer: String? = FakeControl.WARD_BEARER,
+    ): Answer = send("POST", "/v1/programs/$program/turns/$number", body, bearer)
+
+    class Answer(
+        val status: Int,
+        val body: String,
+        val headers: Map<String, List<String>>,
+    ) {
+        fun json(): JsonObject = Json.parseToJsonElement(body).jsonObject
+
+        fun errorCode(): String = json().getValue("error").jsonObject.text("code")
+
+        fun execution(): String = json().getValue("error").jsonObject.text("execution")
+    }
+
+    companion object {
+        fun model(
+            text: String = "hello",
+            stream: Boolean = false,
+        ) = """{"kind":"model","request":${completion(text, stream)}}"""
+
+        fun completion(
+            text: String = "hello",
+            stream: Boolean = false,
+        ) = """{"model":"m1","messages":[{"role":"user","content":"$text"}],"stream":$stream,"max_tokens":10}"""
+
+        fun pay(amount: Int = 1) = """{"kind":"tool","service":"pay","path":"/pay","body":{"amount":$amount}}"""
+
+        fun JsonObject.text(name: String): String = getValue(name).toString().trim('"')
+    }
+}
