--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/Family.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/Family.kt
@@ -72,8 +72,11 @@
         return store.commitOrKeep(changed, turn).onRight { put(changed) }
     }
 
-    private suspend fun isOwned(): Boolean {
-        val location = ownership.locate(ProgramId(root))
-        return location is ProgramLocation.Here && location.epoch == epoch
-    }
+    /** Tells whether this ownership may go on; without a proof of either, the store decides by the lease. */
+    private suspend fun isOwned(): Boolean =
+        when (val location = ownership.locate(ProgramId(root))) {
+            is ProgramLocation.Here -> location.epoch == epoch
+            is ProgramLocation.Elsewhere -> false
+            is ProgramLocation.Unavailable -> true
+        }
 }
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/TurnStarter.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/TurnStarter.kt
@@ -40,6 +40,8 @@
     private val work: WorkCounter,
     private val scope: CoroutineScope,
 ) {
+    private val failedIds = FailedCallIds()
+
     /** Reserves what the turn may cost and starts it; the caller holds the family's mutex. */
     fun start(
         family: Family,
@@ -106,6 +108,7 @@
                 } else {
                     guardedCalls.run(family, intent, plan)
                 }
+            if (result is CallResult.Refused) failedIds.add(firstCallId(request.program, turn.number, request.body))
             finish(family, request.program, turn, result)
             recordDuration(request, clock.elapsed() - startedAt)
             span.end((result as? CallResult.Refused)?.refusal)
@@ -146,7 +149,7 @@
             bodyHash = body.hash,
             kind = body.kind,
             callee = body.callee,
-            call = firstCallId(request.program, request.turnNumber, body),
+            call = failedIds.usable(firstCallId(request.program, request.turnNumber, body)),
             idempotent = body.idempotent || !mechanisms.has(Mechanism.DURABLE_INTENT),
             reserved = reservation(request),
         )
