Add the rig that runs a whole environment of real processes

Cause: the proofs need gateways, sidecars and stand-ins as processes, with every internal connection behind the fault-injecting proxy when asked.

Weighed: in-process nodes start faster but cannot be killed, frozen or share no clock; processes it is.

--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/fleet/Fleet.kt
@@ -0,0 +1,314 @@
+package org.chestnutloom.integration.fleet
+
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import org.chestnutloom.fakes.launch.LaunchedProcess
+import org.chestnutloom.fakes.launch.ProcessLauncher
+import org.chestnutloom.fakes.launch.ProcessSpec
+import org.chestnutloom.fakes.launch.processLauncher
+import org.chestnutloom.fakes.launch.standInProcess
+import org.chestnutloom.integration.caller.CallerClient
+import org.chestnutloom.store.VmEntry
+import org.chestnutloom.store.VmRole
+import org.chestnutloom.store.VmState
+import java.nio.file.Files
+import java.nio.file.Path
+
+/**
+ * A whole environment of real processes on loopback: stand-ins, sidecars and gateways.
+ *
+ * Closing it ends every process that it started.
+ */
+class Fleet(
+    val options: FleetOptions,
+) : AutoCloseable {
+    /** Holds what the processes wrote and the request logs of the targets. */
+    val directory: Path = Files.createTempDirectory("chestnutloom-fleet-")
+
+    private val launcher: ProcessLauncher = processLauncher(directory)
+    private val ports = PortAllocator()
+
+    /** The HTTP client that callers, checks and fault switches share. */
+    val caller = CallerClient()
+
+    /** Switches faults and reads logs of the stand-ins. */
+    val admin = StandInAdmin()
+
+    /** The table service. */
+    lateinit var table: StandInProcess
+        private set
+
+    /** The object store. */
+    lateinit var objects: StandInProcess
+        private set
+
+    /** The VM list. */
+    lateinit var vms: StandInProcess
+        private set
+
+    /** The fault-injecting proxy, or null when the fleet runs without one. */
+    var proxy: ProxyProcess? = null
+        private set
+
+    /** The model engines, in order. */
+    val engines: MutableList<TargetProcess> = mutableListOf()
+
+    /** The plain services, in order. */
+    val tools: MutableList<TargetProcess> = mutableListOf()
+
+    /** The gateways, in order; a replaced one stands at its predecessor's place. */
+    val gateways: MutableList<GatewayProcess> = mutableListOf()
+
+    /** The operators' tool, bound to this environment. */
+    val commandLine: CommandLine by lazy { CommandLine(launcher, environmentArguments()) }
+
+    /** Base URLs of the gateways, as callers use them. */
+    val gatewayUrls: List<String>
+        get() = gateways.map { it.url }
+
+    /** Starts everything, puts the document in force, and waits until all gateways are ready. */
+    suspend fun start(): Fleet {
+        startPlatform()
+        startTargets()
+        val document = fleetDocument(options)
+        commandLine.applyDocument(document, environment = ENVIRONMENT, waitSeconds = 0)
+        startGateways()
+        return this
+    }
+
+    /** Starts gateway [index], in place of its predecessor if there was one. */
+    suspend fun startGateway(
+        index: Int,
+        arguments: List<String> = emptyList(),
+    ): GatewayProcess {
+        val gateway = launchGateway(index, arguments)
+        if (index < gateways.size) gateways[index] = gateway else gateways += gateway
+        gateway.awaitReady(admin)
+        return gateway
+    }
+
+    /** Starts the sidecar of [target] anew, at the same port. */
+    suspend fun restartSidecar(target: TargetProcess): LaunchedProcess {
+        target.sidecar = launcher.start(sidecarSpec(target))
+        target.sidecar.awaitListening()
+        return target.sidecar
+    }
+
+    /** Starts the engine or plain service of [target] anew, at the same port. */
+    suspend fun restartTarget(target: TargetProcess) {
+        target.process = launcher.start(targetSpec(target.name, target.isEngine, target.targetPort, target.logFile))
+        target.process.awaitListening()
+    }
+
+    /** Creates a key for [account] and returns its bearer token. */
+    suspend fun createKey(account: String): CreatedKey = commandLine.createKey(account, ENVIRONMENT)
+
+    override fun close() {
+        caller.close()
+        admin.close()
+        launcher.close()
+    }
+
+    private suspend fun startPlatform() =
+        coroutineScope {
+            val names = listOf("table", "objects", "vms")
+            val started = names.map { async { startStandIn(it, it) } }.awaitAll()
+            table = started[0]
+            objects = started[1]
+            vms = started[2]
+            if (options.proxied) proxy = ProxyProcess(startStandIn("proxy", "proxy"), admin)
+        }
+
+    private suspend fun startStandIn(
+        name: String,
+        vararg arguments: String,
+    ): StandInProcess {
+        val process = launcher.start(standInProcess(name, *arguments))
+        val line = process.awaitListening()
+        return StandInProcess(process, "http://$HOST:${line.port()}")
+    }
+
+    private suspend fun startTargets() =
+        coroutineScope {
+            val engineTargets = (0 until options.engines).map { async { startTarget(engineName(it), isEngine = true) } }
+            val toolTargets =
+                (0 until options.toolServices).map {
+                    async {
+                        startTarget(
+                            toolName(it),
+                            isEngine = false,
+                        )
+                    }
+                }
+            engines += engineTargets.awaitAll()
+            tools += toolTargets.awaitAll()
+        }
+
+    private suspend fun startTarget(
+        name: String,
+        isEngine: Boolean,
+    ): TargetProcess {
+        val port = ports.next()
+        val logFile = directory.resolve("$name-requests.log").toString()
+        val process = launcher.start(targetSpec(name, isEngine, port, logFile))
+        process.awaitListening()
+        val seenPort = proxied("$name-target", port)
+        val linkPort = ports.next()
+        val target = TargetProcess(name, isEngine, port, logFile, "http://$HOST:$seenPort", linkPort, process)
+        target.sidecar = launcher.start(sidecarSpec(target))
+        target.sidecar.awaitListening()
+        listVm(name, VmRole.TARGET, proxied("$name-link", linkPort), VmState.LIVE)
+        return target
+    }
+
+    private fun targetSpec(
+        name: String,
+        isEngine: Boolean,
+        port: Int,
+        logFile: String,
+    ): ProcessSpec {
+        val common = listOf("--port", port.toString(), "--log-file", logFile)
+        if (!isEngine) return standInProcess(name, "tool", *common.toTypedArray())
+        val engine =
+            listOf(
+                "--decode-ms-per-step",
+                options.decodeMsPerStep.toInt().toString(),
+                "--verifies-orders",
+                options.verifyOrders.toString(),
+                "--object-url",
+                objects.url,
+            ) + options.engineArguments
+        return standInProcess(name, "engine", *(common + engine).toTypedArray())
+    }
+
+    private fun sidecarSpec(target: TargetProcess): ProcessSpec {
+        val served =
+            if (target.isEngine) listOf("--models", TEST_MODEL) else listOf("--services", "$TEST_SERVICE,$OPEN_SERVICE")
+        val arguments =
+            listOf(
+                "sidecar",
+                "--target",
+                target.name,
+                "--environment",
+                ENVIRONMENT,
+                "--failure-domain",
+                FAILURE_DOMAIN,
+                "--link-host",
+                HOST,
+                "--link-port",
+                target.linkPort.toString(),
+                "--admin-host",
+                HOST,
+                "--admin-port",
+                "0",
+                "--kind",
+                if (target.isEngine) "model" else "tool",
+                "--target-url",
+                target.url,
+                "--max-running",
+                options.maxRunning.toString(),
+            ) + served + disabledArguments() + options.sidecarArguments
+        return daemonSpec("sidecar-${target.name}", arguments)
+    }
+
+    private suspend fun startGateways() =
+        coroutineScope {
+            val started = (0 until options.gateways).map { async { launchGateway(it, emptyList()) } }.awaitAll()
+            gateways += started
+            started.map { async { it.awaitReady(admin) } }.awaitAll()
+        }
+
+    private suspend fun launchGateway(
+        index: Int,
+        extra: List<String>,
+    ): GatewayProcess {
+        val name = gatewayName(index)
+        val linkPort = gateways.getOrNull(index)?.linkPort ?: ports.next()
+        val seenPort = proxied("$name-link", linkPort)
+        listVm(name, VmRole.GATEWAY, seenPort, VmState.LIVE)
+        val arguments =
+            gatewayArguments(name, linkPort, seenPort) + disabledArguments() + options.gatewayArguments + extra
+        val process = launcher.start(daemonSpec(name, arguments))
+        val line = process.awaitListening()
+        return GatewayProcess(name, process, linkPort, line.port("http_port"), line.port("admin_port"))
+    }
+
+    private suspend fun gatewayArguments(
+        name: String,
+        linkPort: Int,
+        seenPort: Int,
+    ): List<String> =
+        listOf(
+            "gateway",
+            "--id",
+            name,
+            "--environment",
+            ENVIRONMENT,
+            "--failure-domain",
+            FAILURE_DOMAIN,
+            "--http-host",
+            HOST,
+            "--http-port",
+            "0",
+            "--link-host",
+            HOST,
+            "--link-port",
+            linkPort.toString(),
+            "--advertised-host",
+            HOST,
+            "--advertised-port",
+            seenPort.toString(),
+            "--admin-host",
+            HOST,
+            "--admin-port",
+            "0",
+            "--table-url",
+            "http://$HOST:${proxied("$name-table", table.port)}",
+            "--object-url",
+            "http://$HOST:${proxied("$name-objects", objects.port)}",
+            "--vm-list-url",
+            vms.url,
+            "--lease-ms",
+            options.leaseMs.toString(),
+        )
+
+    private fun environmentArguments(): List<String> =
+        listOf("--table-url", table.url, "--object-url", objects.url, "--vm-list-url", vms.url)
+
+    private fun disabledArguments(): List<String> =
+        if (options.disabled.isEmpty()) emptyList() else listOf("--unsafe-disable", options.disabled.joinToString(","))
+
+    private fun daemonSpec(
+        name: String,
+        arguments: List<String>,
+    ) = ProcessSpec(name, DAEMON_MAIN, arguments.toImmutableList())
+
+    /** Returns the port through which others reach [port]: a proxy link's if the fleet is proxied, else itself. */
+    private suspend fun proxied(
+        link: String,
+        port: Int,
+    ): Int = proxy?.link(link, port) ?: port
+
+    /** Lists a VM as the platform would. */
+    suspend fun listVm(
+        name: String,
+        role: VmRole,
+        port: Int,
+        state: VmState,
+    ) {
+        admin.putVm(vms.url, VmEntry(name, role, HOST, port, FAILURE_DOMAIN, state))
+    }
+
+    companion object {
+        /** The environment that test fleets run. */
+        const val ENVIRONMENT: String = "production"
+
+        /** The IP number of every process. */
+        const val HOST: String = "127.0.0.1"
+
+        private const val FAILURE_DOMAIN = "siracusa"
+        private const val DAEMON_MAIN = "org.chestnutloom.daemon.MainKt"
+    }
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/fleet/ProxyProcess.kt
@@ -0,0 +1,60 @@
+package org.chestnutloom.integration.fleet
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.put
+
+/** The running fault-injecting proxy. */
+class ProxyProcess(
+    private val process: StandInProcess,
+    private val admin: StandInAdmin,
+) {
+    private val ports = java.util.concurrent.ConcurrentHashMap<String, Int>()
+
+    /** Returns the port of link [name], which leads to [targetPort]; creates it when first named. */
+    suspend fun link(
+        name: String,
+        targetPort: Int,
+    ): Int {
+        ports[name]?.let { return it }
+        val body =
+            buildJsonObject {
+                put("name", name)
+                put("listenPort", 0)
+                put("targetHost", Fleet.HOST)
+                put("targetPort", targetPort)
+            }
+        val answer = Json.parseToJsonElement(admin.post("${process.url}/admin/links", body)).jsonObject
+        val port =
+            answer
+                .getValue("port")
+                .jsonPrimitive.content
+                .toInt()
+        ports[name] = port
+        return port
+    }
+
+    /** Sets the fault [mode] of link [name]; `pass` ends it. */
+    suspend fun fault(
+        name: String,
+        mode: String,
+        delayMs: Long = 0,
+        count: Int? = null,
+        afterBytes: Long? = null,
+        direction: String? = null,
+        match: String? = null,
+    ) {
+        val body =
+            buildJsonObject {
+                put("mode", mode)
+                put("delayMs", delayMs)
+                count?.let { put("count", it) }
+                afterBytes?.let { put("afterBytes", it) }
+                direction?.let { put("direction", it) }
+                match?.let { put("match", it) }
+            }
+        admin.post("${process.url}/admin/links/$name/fault", body)
+    }
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/fleet/StandInProcess.kt
@@ -0,0 +1,13 @@
+package org.chestnutloom.integration.fleet
+
+import org.chestnutloom.fakes.launch.LaunchedProcess
+
+/** A running stand-in of the platform. */
+class StandInProcess(
+    val process: LaunchedProcess,
+    val url: String,
+) {
+    /** The port that it listens on. */
+    val port: Int
+        get() = url.substringAfterLast(':').toInt()
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/program/ProgramDriver.kt
@@ -0,0 +1,192 @@
+package org.chestnutloom.integration.program
+
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+import org.chestnutloom.integration.caller.CallerAnswer
+import org.chestnutloom.integration.caller.CallerClient
+import org.chestnutloom.integration.fleet.TEST_MODEL
+import org.chestnutloom.integration.fleet.TEST_SERVICE
+
+/**
+ * Plays one agent program against the gateways.
+ *
+ * @property gateways base URLs; a request that breaks is sent again through the next one
+ * @property trace receives every answer, in the order in which they came
+ */
+class ProgramDriver(
+    private val caller: CallerClient,
+    private val gateways: () -> List<String>,
+    private val key: String,
+    private val firstGateway: Int = 0,
+    private val trace: MutableList<TracedAnswer> = mutableListOf(),
+) {
+    /** The program's id; set by [open]. */
+    var id: String = ""
+        private set
+
+    /** Every answer so far. */
+    val answers: List<TracedAnswer>
+        get() = trace
+
+    /** Opens the program under the caller's own [name], so that a repeat opens no second one. */
+    suspend fun open(
+        name: String,
+        tokens: Long = 100_000,
+        calls: Long = 1_000,
+        wallTimeMs: Long = 600_000,
+        parent: String? = null,
+    ): CallerAnswer.Whole {
+        val body =
+            buildJsonObject {
+                put("id", name)
+                parent?.let { put("parent", it) }
+                putJsonObject("budget") {
+                    put("tokens", tokens)
+                    put("calls", calls)
+                    put("wall_time_ms", wallTimeMs)
+                }
+            }
+        val answer = sendUntilWhole(HttpMethod.Post, "/v1/programs", body)
+        if (answer.status in SUCCESS) {
+            id =
+                answer
+                    .json()
+                    .getValue("id")
+                    .toString()
+                    .trim('"')
+        }
+        return answer
+    }
+
+    /** Runs model turn [number] with [message], repeating it after broken connections and refusals that allow it. */
+    suspend fun modelTurn(
+        number: Int,
+        message: String,
+        maxTokens: Int = 8,
+        stream: Boolean = false,
+    ): CallerAnswer.Whole =
+        sendUntilWhole(HttpMethod.Post, "/v1/programs/$id/turns/$number", modelBody(message, maxTokens, stream))
+
+    /** Runs tool turn [number], repeating it only after a truthful "not run" or a broken connection. */
+    suspend fun toolTurn(
+        number: Int,
+        effect: String,
+        idempotent: Boolean = false,
+    ): CallerAnswer.Whole =
+        sendUntilWhole(HttpMethod.Post, "/v1/programs/$id/turns/$number", toolBody(effect, idempotent))
+
+    /** Sends one request once through gateway [gateway]. */
+    suspend fun sendOnce(
+        gateway: Int,
+        method: HttpMethod,
+        path: String,
+        body: JsonObject? = null,
+    ): CallerAnswer {
+        val urls = gateways()
+        val answer = caller.send(urls[gateway % urls.size], method, path, key, body)
+        trace += TracedAnswer(path, body, answer)
+        return answer
+    }
+
+    /** Reads the program. */
+    suspend fun read(): CallerAnswer.Whole = sendUntilWhole(HttpMethod.Get, "/v1/programs/$id")
+
+    /** Reads finished turn [number]. */
+    suspend fun readTurn(number: Int): CallerAnswer.Whole =
+        sendUntilWhole(HttpMethod.Get, "/v1/programs/$id/turns/$number")
+
+    /** Closes the program. */
+    suspend fun close(): CallerAnswer.Whole =
+        sendUntilWhole(HttpMethod.Post, "/v1/programs/$id/close", buildJsonObject {})
+
+    /** Cancels the program. */
+    suspend fun cancel(): CallerAnswer.Whole =
+        sendUntilWhole(
+            HttpMethod.Post,
+            "/v1/programs/$id/cancel",
+            buildJsonObject {
+            },
+        )
+
+    private suspend fun sendUntilWhole(
+        method: HttpMethod,
+        path: String,
+        body: JsonObject? = null,
+    ): CallerAnswer.Whole {
+        var last: CallerAnswer = CallerAnswer.Broken("not sent")
+        repeat(MAX_ATTEMPTS) { attempt ->
+            last = sendOnce(firstGateway + attempt, method, path, body)
+            val whole = last as? CallerAnswer.Whole
+            if (whole != null && !mayRepeat(whole)) return whole
+            delay(REPEAT_DELAY_MS)
+        }
+        return last as? CallerAnswer.Whole ?: throw NoAnswerException(path, last)
+    }
+
+    private fun mayRepeat(answer: CallerAnswer.Whole): Boolean {
+        val error = answer.error ?: return false
+        return error.code in repeatableCodes && error.execution == "not_run" || error.code in waitingCodes
+    }
+
+    companion object {
+        private const val MAX_ATTEMPTS = 80
+        private const val REPEAT_DELAY_MS = 250L
+        private val SUCCESS = 200..299
+        private val repeatableCodes =
+            setOf(
+                "overloaded",
+                "no_target",
+                "store_unavailable",
+                "gateway_stale",
+                "stopping",
+                "target_lost",
+                "rate_limited",
+            )
+        private val waitingCodes = setOf("turn_in_progress")
+
+        /** Returns the body of a model turn. */
+        fun modelBody(
+            message: String,
+            maxTokens: Int,
+            stream: Boolean,
+        ): JsonObject =
+            buildJsonObject {
+                put("kind", "model")
+                putJsonObject("request") {
+                    put("model", TEST_MODEL)
+                    put("stream", stream)
+                    put("max_tokens", maxTokens)
+                    put(
+                        "messages",
+                        buildJsonArray {
+                            add(
+                                buildJsonObject {
+                                    put("role", "user")
+                                    put("content", message)
+                                },
+                            )
+                        },
+                    )
+                }
+            }
+
+        /** Returns the body of a tool turn whose effect is called [effect]. */
+        fun toolBody(
+            effect: String,
+            idempotent: Boolean,
+        ): JsonObject =
+            buildJsonObject {
+                put("kind", "tool")
+                put("service", TEST_SERVICE)
+                put("method", "POST")
+                put("path", "/pay")
+                put("idempotent", idempotent)
+                putJsonObject("body") { put("effect", effect) }
+            }
+    }
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/program/StreamText.kt
@@ -0,0 +1,46 @@
+package org.chestnutloom.integration.program
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.chestnutloom.integration.caller.CallerAnswer
+
+/** Reads the generated text out of an answer. */
+object StreamText {
+    /** Returns the text of [answer], or null when it is a refusal or was cut before its end. */
+    fun of(answer: CallerAnswer.Whole): String? {
+        if (answer.error != null || answer.status >= FIRST_ERROR_STATUS) return null
+        return if (answer.isStream) streamed(answer.events) else plain(answer)
+    }
+
+    private fun streamed(events: List<String>): String? {
+        if (events.lastOrNull() != "[DONE]") return null
+        return events.dropLast(1).joinToString("") { deltaOf(it) }
+    }
+
+    private fun deltaOf(event: String): String =
+        Json
+            .parseToJsonElement(event)
+            .jsonObject["choices"]
+            ?.jsonArray
+            ?.firstOrNull()
+            ?.jsonObject
+            ?.get("delta")
+            ?.jsonObject
+            ?.get("content")
+            ?.jsonPrimitive
+            ?.contentOrNull
+            .orEmpty()
+
+    private fun plain(answer: CallerAnswer.Whole): String? {
+        val json = answer.json()
+        val completion = json["body"]?.jsonObject ?: json
+        val choice = completion["choices"]?.jsonArray?.firstOrNull()?.jsonObject
+        val message = choice?.get("message")?.jsonObject
+        return message?.get("content")?.jsonPrimitive?.contentOrNull
+    }
+
+    private const val FIRST_ERROR_STATUS = 400
+}
