Call the platform's services and engines over HTTP

Cause: nothing spoke docs/PLATFORM-PROTOCOL.md yet, and a lost reply to a write had to be settled by each caller.

--- /dev/null
+++ b/chestnutloom-platform/src/main/kotlin/org/chestnutloom/platform/engine/HttpEngineClient.kt
@@ -0,0 +1,138 @@
+package org.chestnutloom.platform.engine
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import io.ktor.http.HttpMethod
+import io.ktor.http.encodeURLPathPart
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.chestnutloom.id.ProgramId
+import org.chestnutloom.platform.http.HttpCaller
+import org.chestnutloom.platform.http.HttpOutcome
+import org.chestnutloom.platform.http.decode
+import org.chestnutloom.platform.http.platformJson
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Returns a client of the model engine at [url] that waits [timeout] for each answer.
+ *
+ * @param credential what to show to an engine that checks who calls, or null
+ */
+public fun engineClient(
+    url: String,
+    timeout: Duration = 2.seconds,
+    credential: String? = null,
+): EngineClient = HttpEngineClient(HttpCaller(url, timeout), credential)
+
+private class HttpEngineClient(
+    private val http: HttpCaller,
+    credential: String?,
+) : EngineClient {
+    private val headers = credential?.let { mapOf("Authorization" to "Bearer $it") }.orEmpty()
+
+    override suspend fun cachedPrograms(): Either<EngineFailure, Map<ProgramId, Long>> =
+        get("/v1/cache").read(CacheListing.serializer()).map { it.programs }
+
+    override suspend fun cacheEvents(after: Long): Either<EngineFailure, List<CacheEvent>> =
+        get("/v1/cache/events?after=$after").read(EventListing.serializer()).map { it.events }
+
+    override suspend fun release(program: ProgramId): Either<EngineFailure, Unit> {
+        val body = platformJson.encodeToString(CacheRequest.serializer(), CacheRequest(program))
+        return post("/v1/cache/release", body).map { }
+    }
+
+    override suspend fun exportCache(
+        program: ProgramId,
+        objectName: String,
+    ): Either<EngineFailure, Long> = moveCache("/v1/cache/export", program, objectName)
+
+    override suspend fun importCache(
+        program: ProgramId,
+        objectName: String,
+    ): Either<EngineFailure, Long> = moveCache("/v1/cache/import", program, objectName)
+
+    override suspend fun load(): Either<EngineFailure, EngineLoad> = get("/v1/load").read(EngineLoad.serializer())
+
+    override suspend fun order(order: EngineOrder): Either<EngineFailure, Unit> =
+        post("/v1/orders", platformJson.encodeToString(EngineOrder.serializer(), order)).map { }
+
+    override suspend fun cancel(requestId: String): Either<EngineFailure, Unit> =
+        post("/v1/requests/${requestId.encodeURLPathPart()}/cancel", null).map { }
+
+    override suspend fun health(): Either<EngineFailure, Unit> = get("/v1/health").map { }
+
+    private suspend fun moveCache(
+        path: String,
+        program: ProgramId,
+        objectName: String,
+    ): Either<EngineFailure, Long> {
+        val body = platformJson.encodeToString(CacheRequest.serializer(), CacheRequest(program, objectName))
+        return post(path, body).read(MovedTokens.serializer()).map { it.tokens }
+    }
+
+    private suspend fun get(path: String): Either<EngineFailure, HttpOutcome.Answer> =
+        http.json(HttpMethod.Get, path, headers = headers).accepted()
+
+    private suspend fun post(
+        path: String,
+        body: String?,
+    ): Either<EngineFailure, HttpOutcome.Answer> = http.json(HttpMethod.Post, path, body, headers).accepted()
+
+    private fun HttpOutcome.accepted(): Either<EngineFailure, HttpOutcome.Answer> =
+        when (this) {
+            is HttpOutcome.NotSent -> EngineFailure.Unreachable(detail).left()
+            is HttpOutcome.NoAnswer -> EngineFailure.NoAnswer(detail).left()
+            is HttpOutcome.Answer -> if (status in SUCCESS) right() else rejection().left()
+        }
+
+    private fun HttpOutcome.Answer.rejection(): EngineFailure =
+        when (status) {
+            NOT_FOUND -> EngineFailure.NotFound
+            CONFLICT -> read(Fencing.serializer()).fold({ it }, { EngineFailure.Fenced(it.fencing) })
+            else -> EngineFailure.Rejected(status)
+        }
+
+    private fun <T> Either<EngineFailure, HttpOutcome.Answer>.read(
+        type: DeserializationStrategy<T>,
+    ): Either<EngineFailure, T> = flatMap { it.read(type) }
+
+    private fun <T> HttpOutcome.Answer.read(type: DeserializationStrategy<T>): Either<EngineFailure, T> =
+        decode(type).mapLeft { EngineFailure.Malformed("status $status") }
+
+    @Serializable
+    private data class CacheListing(
+        val programs: Map<ProgramId, Long>,
+    )
+
+    @Serializable
+    private data class EventListing(
+        val events: List<CacheEvent>,
+    )
+
+    @Serializable
+    private data class CacheRequest(
+        val program: ProgramId,
+        @SerialName("object")
+        val objectName: String? = null,
+    )
+
+    @Serializable
+    private data class MovedTokens(
+        val tokens: Long,
+    )
+
+    @Serializable
+    private data class Fencing(
+        val fencing: Long,
+    )
+
+    private companion object {
+        private val SUCCESS = 200..299
+        private const val NOT_FOUND = 404
+        private const val CONFLICT = 409
+    }
+}
--- /dev/null
+++ b/chestnutloom-platform/src/main/kotlin/org/chestnutloom/platform/store/ObjectClient.kt
@@ -0,0 +1,61 @@
+package org.chestnutloom.platform.store
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import io.ktor.http.HttpMethod
+import io.ktor.http.encodeURLPathPart
+import org.chestnutloom.platform.http.HttpCaller
+import org.chestnutloom.platform.http.HttpOutcome
+import org.chestnutloom.store.ObjectStore
+import org.chestnutloom.store.StoreFailure
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Returns a client of the object store at [url] that waits [timeout] for each answer. */
+public fun objectClient(
+    url: String,
+    timeout: Duration = 5.seconds,
+): ObjectStore = ObjectClient(HttpCaller(url, timeout))
+
+private class ObjectClient(
+    private val http: HttpCaller,
+) : ObjectStore {
+    override suspend fun put(
+        name: String,
+        bytes: ByteArray,
+    ): Either<StoreFailure, Unit> =
+        when (val outcome = http.bytes(HttpMethod.Put, pathOf(name), bytes, BYTES_TYPE)) {
+            is HttpOutcome.NotSent -> StoreFailure.Unavailable(outcome.detail).left()
+            is HttpOutcome.NoAnswer -> StoreFailure.OutcomeUnknown(outcome.detail).left()
+            is HttpOutcome.Answer -> stored(outcome.status)
+        }
+
+    override suspend fun get(name: String): Either<StoreFailure, ByteArray?> =
+        http.json(HttpMethod.Get, pathOf(name)).orUnavailable().flatMap { answer ->
+            when (answer.status) {
+                OK -> answer.body.right()
+                NOT_FOUND -> null.right()
+                else -> readFailure(answer.status).left()
+            }
+        }
+
+    private fun stored(status: Int): Either<StoreFailure, Unit> =
+        when (status) {
+            OK, NO_CONTENT -> Unit.right()
+            UNAVAILABLE -> StoreFailure.Unavailable("status $status").left()
+            else -> StoreFailure.OutcomeUnknown("status $status").left()
+        }
+
+    private fun pathOf(name: String): String =
+        name.split('/').joinToString("/", prefix = "/v1/objects/") { it.encodeURLPathPart() }
+
+    private companion object {
+        private const val BYTES_TYPE = "application/octet-stream"
+        private const val OK = 200
+        private const val NO_CONTENT = 204
+        private const val NOT_FOUND = 404
+        private const val UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/chestnutloom-platform/src/main/kotlin/org/chestnutloom/platform/store/TableClient.kt
@@ -0,0 +1,103 @@
+package org.chestnutloom.platform.store
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import io.ktor.http.HttpMethod
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import org.chestnutloom.platform.http.HttpCaller
+import org.chestnutloom.platform.http.HttpOutcome
+import org.chestnutloom.platform.http.decode
+import org.chestnutloom.platform.http.platformJson
+import org.chestnutloom.store.Row
+import org.chestnutloom.store.RowPage
+import org.chestnutloom.store.StoreFailure
+import org.chestnutloom.store.TableStore
+import org.chestnutloom.store.Transaction
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Returns a client of the table service at [url] that waits [timeout] for each answer. */
+public fun tableClient(
+    url: String,
+    timeout: Duration = 1.seconds,
+): TableStore = TableClient(HttpCaller(url, timeout))
+
+private class TableClient(
+    private val http: HttpCaller,
+) : TableStore {
+    override suspend fun read(keys: List<String>): Either<StoreFailure, List<Row>> =
+        query("/v1/read", ReadRequest.serializer(), ReadRequest(keys), RowList.serializer()).map { it.rows }
+
+    override suspend fun scan(
+        prefix: String,
+        afterKey: String?,
+        limit: Int,
+    ): Either<StoreFailure, RowPage> {
+        val request = ScanRequest(prefix, afterKey, limit)
+        return query("/v1/scan", ScanRequest.serializer(), request, RowPage.serializer())
+    }
+
+    override suspend fun transact(transaction: Transaction): Either<StoreFailure, List<Row>> {
+        val body = platformJson.encodeToString(Transaction.serializer(), transaction)
+        return when (val outcome = http.json(HttpMethod.Post, "/v1/transact", body)) {
+            is HttpOutcome.NotSent -> StoreFailure.Unavailable(outcome.detail).left()
+            is HttpOutcome.NoAnswer -> StoreFailure.OutcomeUnknown(outcome.detail).left()
+            is HttpOutcome.Answer -> written(outcome)
+        }
+    }
+
+    private fun written(answer: HttpOutcome.Answer): Either<StoreFailure, List<Row>> =
+        when (answer.status) {
+            OK -> answer.decode(RowList.serializer()).map { it.rows }.mapLeft { unreadable() }
+            CONFLICT -> answer.decode(ConflictAnswer.serializer()).fold({ it.left() }, { it.toFailure().left() })
+            UNAVAILABLE -> StoreFailure.Unavailable("status $UNAVAILABLE").left()
+            else -> StoreFailure.OutcomeUnknown("status ${answer.status}").left()
+        }
+
+    private fun unreadable(): StoreFailure = StoreFailure.OutcomeUnknown("the answer cannot be read")
+
+    private suspend fun <Q, A> query(
+        path: String,
+        questionType: KSerializer<Q>,
+        question: Q,
+        answerType: KSerializer<A>,
+    ): Either<StoreFailure, A> {
+        val body = platformJson.encodeToString(questionType, question)
+        return http.json(HttpMethod.Post, path, body).orUnavailable().flatMap { answer ->
+            if (answer.status == OK) answer.decode(answerType) else readFailure(answer.status).left()
+        }
+    }
+
+    @Serializable
+    private data class ReadRequest(
+        val keys: List<String>,
+    )
+
+    @Serializable
+    private data class ScanRequest(
+        val prefix: String,
+        val afterKey: String?,
+        val limit: Int,
+    )
+
+    @Serializable
+    private data class RowList(
+        val rows: List<Row> = emptyList(),
+    )
+
+    @Serializable
+    private data class ConflictAnswer(
+        val failedKeys: List<String>,
+        val current: List<Row> = emptyList(),
+    ) {
+        fun toFailure(): StoreFailure = StoreFailure.Conflict(failedKeys, current)
+    }
+
+    private companion object {
+        private const val OK = 200
+        private const val CONFLICT = 409
+        private const val UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/chestnutloom-platform/src/main/kotlin/org/chestnutloom/platform/store/VmListClient.kt
@@ -0,0 +1,44 @@
+package org.chestnutloom.platform.store
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import io.ktor.http.HttpMethod
+import kotlinx.serialization.Serializable
+import org.chestnutloom.platform.http.HttpCaller
+import org.chestnutloom.platform.http.decode
+import org.chestnutloom.store.StoreFailure
+import org.chestnutloom.store.VmEntry
+import org.chestnutloom.store.VmList
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Returns a client of the platform's VM list at [url] that waits [timeout] for each answer. */
+public fun vmListClient(
+    url: String,
+    timeout: Duration = 1.seconds,
+): VmList = VmListClient(HttpCaller(url, timeout))
+
+private class VmListClient(
+    private val http: HttpCaller,
+) : VmList {
+    override suspend fun read(): Either<StoreFailure, List<VmEntry>> =
+        http.json(HttpMethod.Get, "/v1/vms").orUnavailable().flatMap { answer ->
+            if (answer.status ==
+                OK
+            ) {
+                answer.decode(VmAnswer.serializer()).map { it.vms }
+            } else {
+                readFailure(answer.status).left()
+            }
+        }
+
+    @Serializable
+    private data class VmAnswer(
+        val vms: List<VmEntry>,
+    )
+
+    private companion object {
+        private const val OK = 200
+    }
+}
