Decode environment documents from HOCON

Cause: operators' documents had typed settings but no decoder, and the platform clients and settledTransact no tests. Ruled out: mapping by reflection, which stops at the first fault and accepts settings it does not know.

--- /dev/null
+++ b/chestnutloom-config/src/main/kotlin/org/chestnutloom/config/ReferenceCheck.kt
@@ -0,0 +1,71 @@
+package org.chestnutloom.config
+
+import org.chestnutloom.call.CallKind
+import org.chestnutloom.id.TargetId
+
+/** Notes each name in [settings] that refers to a section that does not exist or does not fit. */
+internal fun checkReferences(
+    settings: EnvironmentSettings,
+    root: SectionReader,
+    faults: FaultList,
+) {
+    ReferenceCheck(settings, root, faults).run()
+}
+
+private class ReferenceCheck(
+    private val settings: EnvironmentSettings,
+    root: SectionReader,
+    private val faults: FaultList,
+) {
+    private val services = root.sections("services")
+    private val targets = root.sections("targets")
+    private val routes = root.sectionList("open_routes")
+
+    fun run() {
+        checkServices()
+        checkTargets()
+        checkRoutes()
+    }
+
+    private fun checkServices() {
+        settings.services.forEach { (name, service) ->
+            service.targets.forEach { target -> checkServiceTarget(services.getValue(name), target) }
+        }
+    }
+
+    private fun checkServiceTarget(
+        section: SectionReader,
+        target: TargetId,
+    ) {
+        val settings = settings.targets[target]
+        when {
+            settings == null -> section.fault("targets", "names the unknown target $target")
+            settings.kind != CallKind.TOOL -> section.fault("targets", "names $target, which is a model engine")
+        }
+    }
+
+    private fun checkTargets() {
+        settings.targets.forEach { (id, target) ->
+            val unknown = target.models.filter { it !in settings.models }
+            unknown.forEach { targets.getValue(id.value).fault("models", "names the unknown model $it") }
+        }
+    }
+
+    private fun checkRoutes() {
+        settings.openRoutes.zip(routes).forEach { (route, section) ->
+            if (route.service !in
+                settings.services
+            ) {
+                section.fault("service", "names the unknown service ${route.service}")
+            }
+        }
+        repeatedRoutes().forEach { it.fault("path", "stands twice with the same method") }
+    }
+
+    private fun repeatedRoutes(): List<SectionReader> =
+        settings.openRoutes
+            .zip(routes)
+            .groupBy { (route, _) -> route.path to route.method }
+            .values
+            .flatMap { same -> same.drop(1).map { (_, section) -> section } }
+}
--- /dev/null
+++ b/chestnutloom-config/src/main/kotlin/org/chestnutloom/config/SectionReader.kt
@@ -0,0 +1,145 @@
+package org.chestnutloom.config
+
+import com.typesafe.config.ConfigList
+import com.typesafe.config.ConfigObject
+import com.typesafe.config.ConfigValue
+import com.typesafe.config.ConfigValueType
+
+/** Reads the settings of one section; a fault is noted, and a stand-in value returned so that reading goes on. */
+internal class SectionReader(
+    private val section: ConfigObject,
+    val path: String,
+    private val faults: FaultList,
+) {
+    private val read = mutableSetOf<String>()
+
+    /** Returns the value of [key] as it stands, for the place of a fault. */
+    fun raw(key: String): ConfigValue? = section[key]
+
+    fun pathOf(key: String): String = joinPath(path, key)
+
+    fun fault(
+        key: String,
+        problem: String,
+    ) {
+        faults.add(pathOf(key), section[key], problem)
+    }
+
+    fun whole(
+        key: String,
+        range: LongRange,
+        default: Long? = null,
+    ): Long {
+        val number = number(key, default?.toDouble()) ?: return range.first
+        val whole = number.toLong()
+        if (whole.toDouble() == number && whole in range) return whole
+        fault(key, "must be a whole number from ${range.first} to ${range.last}")
+        return range.first
+    }
+
+    fun decimal(
+        key: String,
+        default: Double? = null,
+        isValid: (Double) -> Boolean,
+        rule: String,
+    ): Double {
+        val number = number(key, default) ?: return 0.0
+        if (!isValid(number)) fault(key, rule)
+        return number
+    }
+
+    fun flag(
+        key: String,
+        default: Boolean?,
+    ): Boolean {
+        val value = take(key, ConfigValueType.BOOLEAN, default != null) ?: return default ?: false
+        return value.unwrapped() as Boolean
+    }
+
+    fun text(
+        key: String,
+        default: String? = null,
+    ): String {
+        val value = take(key, ConfigValueType.STRING, default != null) ?: return default.orEmpty()
+        return value.unwrapped() as String
+    }
+
+    fun texts(
+        key: String,
+        isOptional: Boolean = false,
+    ): List<String> {
+        val list = take(key, ConfigValueType.LIST, isOptional) as? ConfigList ?: return emptyList()
+        val (texts, others) = list.partition { it.valueType() == ConfigValueType.STRING }
+        others.forEach { faults.add(pathOf(key), it, "must hold only strings") }
+        return texts.map { it.unwrapped() as String }
+    }
+
+    /** Returns a reader for each named section below [key]. */
+    fun sections(key: String): Map<String, SectionReader> {
+        val parent = take(key, ConfigValueType.OBJECT, isOptional = true) as? ConfigObject ?: return emptyMap()
+        return parent
+            .mapNotNull { (name, value) ->
+                section(value, joinPath(pathOf(key), name))?.let { name to it }
+            }.toMap()
+    }
+
+    /** Returns a reader for each section in the list [key]. */
+    fun sectionList(key: String): List<SectionReader> {
+        val list = take(key, ConfigValueType.LIST, isOptional = true) as? ConfigList ?: return emptyList()
+        return list.mapIndexedNotNull { index, value -> section(value, "${pathOf(key)}[$index]") }
+    }
+
+    /** Returns a reader for the section [key], which is empty when it is missing. */
+    fun optionalSection(
+        key: String,
+        empty: ConfigObject,
+    ): SectionReader {
+        val value = take(key, ConfigValueType.OBJECT, isOptional = true) as? ConfigObject ?: empty
+        return SectionReader(value, pathOf(key), faults)
+    }
+
+    /** Notes each setting that nobody has read. */
+    fun finish() {
+        (section.keys - read).forEach { fault(it, "is not a setting") }
+    }
+
+    private fun section(
+        value: ConfigValue,
+        path: String,
+    ): SectionReader? {
+        if (value is ConfigObject) return SectionReader(value, path, faults)
+        faults.add(path, value, "must be a section")
+        return null
+    }
+
+    private fun number(
+        key: String,
+        default: Double?,
+    ): Double? {
+        val value = take(key, ConfigValueType.NUMBER, default != null) ?: return default
+        return (value.unwrapped() as Number).toDouble()
+    }
+
+    private fun take(
+        key: String,
+        type: ConfigValueType,
+        isOptional: Boolean,
+    ): ConfigValue? {
+        read += key
+        val value = section[key]
+        when {
+            value == null && !isOptional -> faults.add(pathOf(key), null, "is missing")
+            value != null && value.valueType() != type -> fault(key, "must be ${nameOf(type)}")
+        }
+        return value?.takeIf { it.valueType() == type }
+    }
+
+    private fun nameOf(type: ConfigValueType): String =
+        when (type) {
+            ConfigValueType.OBJECT -> "a section"
+            ConfigValueType.LIST -> "a list"
+            ConfigValueType.NUMBER -> "a number"
+            ConfigValueType.BOOLEAN -> "true or false"
+            else -> "a string"
+        }
+}
--- /dev/null
+++ b/chestnutloom/src/test/kotlin/org/chestnutloom/store/SettledTransactSpec.kt
@@ -0,0 +1,101 @@
+package org.chestnutloom.store
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.test.runTest
+
+private class LossyStore : TableStore {
+    val rows = mutableMapOf<String, Row>()
+    val beforeLoss = ArrayDeque<(Transaction) -> Unit>()
+    private var counter = 10L
+
+    fun put(
+        key: String,
+        value: String,
+    ) {
+        rows[key] = Row(key, ++counter, value)
+    }
+
+    fun apply(transaction: Transaction): Either<StoreFailure, List<Row>> {
+        val failed = transaction.conditions.filter { (rows[it.key]?.version ?: 0) != it.version }.map { it.key }
+        if (failed.isNotEmpty()) return StoreFailure.Conflict(failed, failed.mapNotNull { rows[it] }).left()
+        transaction.writes.forEach { write -> write.value?.let { put(write.key, it) } ?: rows.remove(write.key) }
+        return transaction.writes.mapNotNull { rows[it.key] }.right()
+    }
+
+    override suspend fun read(keys: List<String>) = keys.mapNotNull { rows[it] }.right()
+
+    override suspend fun scan(
+        prefix: String,
+        afterKey: String?,
+        limit: Int,
+    ) = RowPage(emptyList(), false).right()
+
+    override suspend fun transact(transaction: Transaction): Either<StoreFailure, List<Row>> {
+        val loss = beforeLoss.removeFirstOrNull() ?: return apply(transaction)
+        loss(transaction)
+        return StoreFailure.OutcomeUnknown("lost").left()
+    }
+}
+
+class SettledTransactSpec :
+    DescribeSpec({
+        val transaction =
+            Transaction(
+                listOf(Condition("head", 1), Condition("v1", 0)),
+                listOf(RowWrite("head", "ours"), RowWrite("v1", "ours")),
+            )
+
+        fun store(vararg losses: LossyStore.(Transaction) -> Unit) =
+            LossyStore().apply {
+                rows["head"] = Row("head", 1, "old")
+                losses.forEach { loss -> beforeLoss += { loss(it) } }
+            }
+
+        describe("a transaction whose reply is lost") {
+            it("succeeds when it took effect") {
+                runTest {
+                    val result = store({ apply(it) }).settledTransact(transaction)
+                    result.getOrNull()?.map { it.value } shouldBe listOf("ours", "ours")
+                }
+            }
+
+            it("is sent again when it did not take effect, and counts once when it takes effect late") {
+                runTest {
+                    store({}).settledTransact(transaction).isRight() shouldBe true
+                    val late = store({}, { apply(it) })
+                    late.settledTransact(transaction).isRight() shouldBe true
+                    late.rows.getValue("head").version shouldBe 11
+                }
+            }
+
+            it("is a conflict when another writer came first, as its witness shows") {
+                runTest {
+                    val result = store({ put("head", "theirs") }).settledTransact(transaction, witness = "v1")
+                    result.leftOrNull().shouldBeInstanceOf<StoreFailure.Conflict>().failedKeys shouldBe listOf("head")
+                }
+            }
+
+            it("succeeds when it was overwritten later, as its witness shows") {
+                runTest {
+                    val losing: LossyStore.(Transaction) -> Unit = {
+                        apply(it)
+                        put("head", "theirs")
+                    }
+                    store(losing).settledTransact(transaction, witness = "v1").isRight() shouldBe true
+                }
+            }
+
+            it("stays unknown when it may have been overwritten and has no witness") {
+                runTest {
+                    val single = transaction.copy(writes = transaction.writes.take(1))
+                    val result = store({ put("head", "theirs") }).settledTransact(single)
+                    result.leftOrNull().shouldBeInstanceOf<StoreFailure.OutcomeUnknown>()
+                }
+            }
+        }
+    })
