Prove that a non-idempotent call runs at most once at each hop

Cause: a lost reply at any hop must not lead to a second run, and this needs a check from the tool's own log. Weighed: a check inside the gateway would trust what it should test. Not run yet: gateway and sidecar are not composed.

--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/fleet/Fleet.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/fleet/Fleet.kt
@@ -225,18 +225,23 @@
         extra: List<String>,
     ): GatewayProcess {
         val name = gatewayName(index)
-        val linkPort = gateways.getOrNull(index)?.linkPort ?: ports.next()
+        val predecessor = gateways.getOrNull(index)
+        val linkPort = predecessor?.linkPort ?: ports.next()
+        val httpPort = predecessor?.httpPort ?: ports.next()
         val seenPort = proxied("$name-link", linkPort)
         listVm(name, VmRole.GATEWAY, seenPort, VmState.LIVE)
         val arguments =
-            gatewayArguments(name, linkPort, seenPort) + disabledArguments() + options.gatewayArguments + extra
+            gatewayArguments(name, httpPort, linkPort, seenPort) + disabledArguments() + options.gatewayArguments +
+                extra
         val process = launcher.start(daemonSpec(name, arguments))
         val line = process.awaitListening()
-        return GatewayProcess(name, process, linkPort, line.port("http_port"), line.port("admin_port"))
+        val callerPort = proxied("$name-http", httpPort)
+        return GatewayProcess(name, process, linkPort, httpPort, callerPort, line.port("admin_port"))
     }
 
     private suspend fun gatewayArguments(
         name: String,
+        httpPort: Int,
         linkPort: Int,
         seenPort: Int,
     ): List<String> =
@@ -251,7 +256,7 @@
             "--http-host",
             HOST,
             "--http-port",
-            "0",
+            httpPort.toString(),
             "--link-host",
             HOST,
             "--link-port",
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/fleet/GatewayProcess.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/fleet/GatewayProcess.kt
@@ -3,17 +3,23 @@
 import kotlinx.coroutines.delay
 import org.chestnutloom.fakes.launch.LaunchedProcess
 
-/** A running gateway. */
+/**
+ * A running gateway.
+ *
+ * @property httpPort the gateway's own port for callers
+ * @property callerPort the port that callers use, the proxy's if there is one
+ */
 class GatewayProcess(
     val name: String,
     val process: LaunchedProcess,
     val linkPort: Int,
     val httpPort: Int,
+    val callerPort: Int,
     val adminPort: Int,
 ) {
     /** Where callers reach the gateway. */
     val url: String
-        get() = "http://${Fleet.HOST}:$httpPort"
+        get() = "http://${Fleet.HOST}:$callerPort"
 
     /** Where operators reach the gateway. */
     val adminUrl: String
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/TargetLog.kt
@@ -0,0 +1,16 @@
+package org.chestnutloom.integration.proof
+
+import kotlinx.serialization.json.Json
+import org.chestnutloom.fakes.record.RequestRecord
+import org.chestnutloom.fakes.record.RequestRecords
+import org.chestnutloom.integration.fleet.Fleet
+import org.chestnutloom.integration.fleet.TargetProcess
+
+private val json = Json { ignoreUnknownKeys = true }
+
+/** Returns every request that [target] received since it started. */
+suspend fun Fleet.requestsOf(target: TargetProcess): List<RequestRecord> =
+    json.decodeFromString<RequestRecords>(admin.text("${target.directUrl}/admin/log")).requests
+
+/** Returns every request that any of [targets] received since it started. */
+suspend fun Fleet.requestsOf(targets: List<TargetProcess>): List<RequestRecord> = targets.flatMap { requestsOf(it) }
--- /dev/null
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/ProofSpec.kt
@@ -0,0 +1,24 @@
+package org.chestnutloom.integration
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldNotBeEmpty
+import org.chestnutloom.integration.proof.Proof
+import org.chestnutloom.integration.proof.ProofRunner
+
+private const val SEED = 20_261
+
+/** Runs [proof] twice: without its mechanisms it must find violations, with them it must find none. */
+abstract class ProofSpec(
+    proof: Proof,
+) : DescribeSpec({
+        describe(proof.name) {
+            it("is violated without ${proof.mechanisms}") {
+                ProofRunner.run(proof, SEED, withMechanisms = false).shouldNotBeEmpty()
+            }
+            it("holds with ${proof.mechanisms}") {
+                withClue("seed $SEED") { ProofRunner.run(proof, SEED, withMechanisms = true).shouldBeEmpty() }
+            }
+        }
+    })
