--- /dev/null
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/DaemonProcess.kt
@@ -0,0 +1,48 @@
+package org.chestnutloom.daemon
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.runBlocking
+import org.chestnutloom.platform.flag.UsageFault
+import org.chestnutloom.platform.log.warnEvent
+import kotlin.system.exitProcess
+
+/** The exit code when the node cannot be started. */
+internal const val EXIT_START_FAILED: Int = 1
+
+/** The exit code when the command line is faulty. */
+internal const val EXIT_USAGE: Int = 2
+
+/** Runs the node that [args] ask for until the process is told to stop, and ends the process. */
+internal fun runDaemon(
+    parser: LaunchParser,
+    args: List<String>,
+): Nothing {
+    System.setProperty("logback.configurationFile", "logback-daemon.xml")
+    val launch = parser.parse(args, System.getenv()).fold({ endWithUsage(it) }, { it })
+    val daemon = startOrEnd(launch)
+    Runtime.getRuntime().addShutdownHook(Thread { stopAndHalt(daemon) })
+    runBlocking { awaitCancellation() }
+}
+
+private fun endWithUsage(faults: List<UsageFault>): Nothing {
+    faults.forEach { System.err.println(it) }
+    exitProcess(EXIT_USAGE)
+}
+
+private fun startOrEnd(launch: Launch): Daemon =
+    try {
+        val daemon = Daemon(launch)
+        runBlocking { daemon.start() }
+        daemon
+    } catch (e: Exception) {
+        val logger = KotlinLogging.logger("org.chestnutloom.daemon")
+        logger.warnEvent("start_failed", "cause" to e.javaClass.simpleName, "detail" to e.message.orEmpty())
+        exitProcess(EXIT_START_FAILED)
+    }
+
+/** Stops on SIGTERM or SIGINT; halting gives exit code 0 where the runtime would report the signal. */
+private fun stopAndHalt(daemon: Daemon) {
+    runBlocking { daemon.stop() }
+    Runtime.getRuntime().halt(0)
+}
--- /dev/null
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/Launch.kt
@@ -0,0 +1,16 @@
+package org.chestnutloom.daemon
+
+import org.chestnutloom.daemon.settings.CommonSettings
+
+/**
+ * What the command line asks to run.
+ *
+ * @property role `gateway` or `sidecar`
+ * @property id the gateway id or target id
+ */
+internal class Launch(
+    val role: String,
+    val id: String,
+    val common: CommonSettings,
+    val factory: NodeFactory,
+)
--- /dev/null
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/LaunchParser.kt
@@ -0,0 +1,66 @@
+package org.chestnutloom.daemon
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
+import org.chestnutloom.daemon.settings.common
+import org.chestnutloom.daemon.settings.gatewayFlags
+import org.chestnutloom.daemon.settings.gatewaySettings
+import org.chestnutloom.daemon.settings.sidecarFlags
+import org.chestnutloom.daemon.settings.sidecarSettings
+import org.chestnutloom.gateway.GatewaySettings
+import org.chestnutloom.platform.flag.Flag
+import org.chestnutloom.platform.flag.FlagParser
+import org.chestnutloom.platform.flag.FlagReader
+import org.chestnutloom.platform.flag.UsageFault
+import org.chestnutloom.sidecar.SidecarSettings
+
+/** Reads the command line of `chestnutloomd`, and makes the node from its settings by the functions given. */
+internal class LaunchParser(
+    private val gatewayFactory: (GatewaySettings) -> NodeFactory,
+    private val sidecarFactory: (SidecarSettings) -> NodeFactory,
+) {
+    fun parse(
+        args: List<String>,
+        environment: Map<String, String>,
+    ): Either<ImmutableList<UsageFault>, Launch> =
+        when (args.firstOrNull()) {
+            GATEWAY -> read(GATEWAY, gatewayFlags, args.drop(1), environment) { gatewayLaunch(it) }
+            SIDECAR -> read(SIDECAR, sidecarFlags, args.drop(1), environment) { sidecarLaunch(it) }
+            else ->
+                persistentListOf(
+                    UsageFault("chestnutloomd", "the first argument must be gateway or sidecar"),
+                ).left()
+        }
+
+    private fun read(
+        role: String,
+        flags: List<Flag>,
+        args: List<String>,
+        environment: Map<String, String>,
+        launch: (FlagReader) -> Launch,
+    ): Either<ImmutableList<UsageFault>, Launch> =
+        FlagParser("chestnutloomd $role", flags).parse(args, environment).flatMap { values ->
+            val reader = FlagReader(values)
+            val result = launch(reader)
+            if (reader.faults.isEmpty()) result.right() else reader.faults.left()
+        }
+
+    private fun gatewayLaunch(reader: FlagReader): Launch {
+        val settings = reader.gatewaySettings()
+        return Launch(GATEWAY, settings.id.value, reader.common(), gatewayFactory(settings))
+    }
+
+    private fun sidecarLaunch(reader: FlagReader): Launch {
+        val settings = reader.sidecarSettings()
+        return Launch(SIDECAR, settings.target.value, reader.common(), sidecarFactory(settings))
+    }
+
+    private companion object {
+        private const val GATEWAY = "gateway"
+        private const val SIDECAR = "sidecar"
+    }
+}
--- /dev/null
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/GatewayFlags.kt
@@ -0,0 +1,68 @@
+package org.chestnutloom.daemon.settings
+
+import org.chestnutloom.gateway.GatewaySettings
+import org.chestnutloom.id.GatewayId
+import org.chestnutloom.platform.flag.Flag
+import org.chestnutloom.platform.flag.FlagReader
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The flags of `chestnutloomd gateway`. */
+internal val gatewayFlags: List<Flag> =
+    commonFlags +
+        listOf(
+            Flag("id", "gateway id, the same as on the platform's VM list"),
+            Flag("http", "IP number and port for callers; port 0 picks a free one"),
+            Flag("advertised", "IP number and port that other processes are told to use for links"),
+            Flag("table-url", "address of the table service"),
+            Flag("object-url", "address of the object store"),
+            Flag("vm-list-url", "address of the VM list"),
+            Flag("slots", "slots that programs are spread over; the same on every gateway of an environment"),
+            Flag("lease-ms", "how long the gateway may act after its newest proof that it is current"),
+            Flag("renew-interval-ms", "how often the lease is renewed"),
+            Flag("poll-interval-ms", "how often the head row is read"),
+            Flag("connect-timeout-ms", "how long connecting to another process may take"),
+            Flag("store-timeout-ms", "how long the gateway waits for an answer of the platform"),
+        )
+
+/** Reads the settings of a gateway. */
+internal fun FlagReader.gatewaySettings(): GatewaySettings {
+    val settings =
+        GatewaySettings(
+            id = GatewayId(name("id")),
+            environment = name("environment"),
+            failureDomain = name("failure-domain"),
+            http = address("http"),
+            link = address("link"),
+            advertised = optionalAddress("advertised"),
+            tableUrl = url("table-url"),
+            objectUrl = url("object-url"),
+            vmListUrl = url("vm-list-url"),
+            slots = whole("slots", 1..MOST_SLOTS, default = 64),
+            lease = duration("lease-ms", 4.seconds),
+            renewInterval = duration("renew-interval-ms", 1.seconds),
+            pollInterval = duration("poll-interval-ms", 500.milliseconds),
+            heartbeatInterval = duration("heartbeat-interval-ms", 500.milliseconds),
+            linkSilence = duration("link-silence-ms", 2.seconds),
+            connectTimeout = duration("connect-timeout-ms", 1.seconds),
+            storeTimeout = duration("store-timeout-ms", 1.seconds),
+            stopTimeout = duration("stop-timeout-ms", 60.seconds),
+            mechanisms = mechanisms(),
+        )
+    requireBelow("renew-interval-ms", settings.renewInterval, "lease-ms", settings.lease)
+    requireBelow("heartbeat-interval-ms", settings.heartbeatInterval, "link-silence-ms", settings.linkSilence)
+    return settings
+}
+
+/** Notes a fault unless two of the shorter durations fit into the longer one. */
+internal fun FlagReader.requireBelow(
+    shorterName: String,
+    shorter: Duration,
+    longerName: String,
+    longer: Duration,
+) {
+    if (shorter * 2 > longer) fault(shorterName, "must be at most half of --$longerName")
+}
+
+private const val MOST_SLOTS = 65_536
--- /dev/null
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/SidecarFlags.kt
@@ -0,0 +1,78 @@
+package org.chestnutloom.daemon.settings
+
+import org.chestnutloom.call.CallKind
+import org.chestnutloom.id.ModelName
+import org.chestnutloom.id.TargetId
+import org.chestnutloom.platform.flag.Flag
+import org.chestnutloom.platform.flag.FlagReader
+import org.chestnutloom.sidecar.SidecarSettings
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/** The flags of `chestnutloomd sidecar`. */
+internal val sidecarFlags: List<Flag> =
+    commonFlags +
+        listOf(
+            Flag("target", "target id, the same as on the platform's VM list"),
+            Flag("target-url", "address of the target"),
+            Flag("target-credential", "what is shown to a target that checks who calls"),
+            Flag("kind", "model or tool"),
+            Flag("models", "models that the engine serves, separated by commas"),
+            Flag("services", "plain services that the target runs, separated by commas"),
+            Flag("max-running", "the most calls that run on the target at once"),
+            Flag("gateway-silence-ms", "how long after a gateway's newest proof its queued calls may still start"),
+            Flag("answer-retention-ms", "how long an answer is kept that no gateway has called durable"),
+            Flag("id-retention-ms", "how long the ids of calls are remembered"),
+            Flag("program-retention-ms", "how long the engine keeps memory for a program that no gateway speaks of"),
+            Flag("cache-sweep-interval-ms", "how often the engine's cache listing is compared with the programs"),
+            Flag("load-report-interval-ms", "the shortest time between two load reports"),
+        )
+
+/** Reads the settings of a sidecar. */
+internal fun FlagReader.sidecarSettings(): SidecarSettings {
+    val settings =
+        SidecarSettings(
+            target = TargetId(name("target")),
+            environment = name("environment"),
+            failureDomain = name("failure-domain"),
+            link = address("link"),
+            kind = kind(),
+            targetUrl = url("target-url"),
+            targetCredential = optional("target-credential"),
+            models = list("models").map { ModelName(it) },
+            services = list("services"),
+            maxRunning = whole("max-running", 1..MOST_RUNNING, default = 8),
+            heartbeatInterval = duration("heartbeat-interval-ms", 500.milliseconds),
+            linkSilence = duration("link-silence-ms", 2.seconds),
+            gatewaySilence = duration("gateway-silence-ms", 4.seconds),
+            answerRetention = duration("answer-retention-ms", 30.minutes),
+            idRetention = duration("id-retention-ms", 60.minutes),
+            programRetention = duration("program-retention-ms", 30.seconds),
+            cacheSweepInterval = duration("cache-sweep-interval-ms", 2.seconds),
+            loadReportInterval = duration("load-report-interval-ms", 100.milliseconds),
+            stopTimeout = duration("stop-timeout-ms", 60.seconds),
+            mechanisms = mechanisms(),
+        )
+    checkSidecar(settings)
+    return settings
+}
+
+private fun FlagReader.kind(): CallKind {
+    required("kind")
+    return choice("kind", mapOf("model" to CallKind.MODEL, "tool" to CallKind.TOOL), CallKind.TOOL)
+}
+
+private fun FlagReader.checkSidecar(settings: SidecarSettings) {
+    val isModel = settings.kind == CallKind.MODEL
+    if (isModel && settings.models.isEmpty() && optional("kind") != null) fault("models", "is missing for --kind model")
+    if (!isModel &&
+        settings.services.isEmpty() &&
+        optional("kind") == "tool"
+    ) {
+        fault("services", "is missing for --kind tool")
+    }
+    requireBelow("heartbeat-interval-ms", settings.heartbeatInterval, "link-silence-ms", settings.linkSilence)
+}
+
+private const val MOST_RUNNING = 100_000
--- /dev/null
+++ b/chestnutloom-daemon/src/test/kotlin/org/chestnutloom/daemon/LaunchParserSpec.kt
@@ -0,0 +1,92 @@
+package org.chestnutloom.daemon
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainAll
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import org.chestnutloom.gateway.GatewaySettings
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.platform.node.Node
+import org.chestnutloom.platform.node.NodeEndpoints
+import org.chestnutloom.sidecar.SidecarSettings
+import org.chestnutloom.wire.link.PeerAddress
+import kotlin.time.Duration.Companion.milliseconds
+
+private object IdleNode : Node {
+    override val isReady = true
+    override val endpoints = NodeEndpoints(null, 0)
+
+    override suspend fun start() = Unit
+
+    override suspend fun stopGracefully() = Unit
+}
+
+class LaunchParserSpec :
+    DescribeSpec({
+        var gateway: GatewaySettings? = null
+        var sidecar: SidecarSettings? = null
+        val parser =
+            LaunchParser(
+                { settings -> NodeFactory { _, _, _, _ -> IdleNode }.also { gateway = settings } },
+                { settings -> NodeFactory { _, _, _, _ -> IdleNode }.also { sidecar = settings } },
+            )
+        val urls = "--table-url http://127.0.0.1:1 --object-url=http://127.0.0.1:2 --vm-list-url http://127.0.0.1:3"
+        val places = "--environment trial --failure-domain osborne-park --link 127.0.0.1:0"
+
+        fun parse(
+            line: String,
+            environment: Map<String, String> = emptyMap(),
+        ) = parser.parse(line.split(' '), environment)
+
+        fun subjects(line: String) = parse(line).leftOrNull().shouldNotBeNull().map { it.subject }
+
+        describe("the settings of a gateway") {
+            it("come from flags, then from environment variables") {
+                val line = "gateway --id g1 $places $urls --lease-ms 3000 --unsafe-disable rate_escrow,DRAIN"
+                val variables = mapOf("CHESTNUTLOOM_HTTP" to "0.0.0.0:8080", "CHESTNUTLOOM_LEASE_MS" to "9000")
+                parse(line, variables).isRight() shouldBe true
+                val settings = gateway.shouldNotBeNull()
+                settings.http shouldBe PeerAddress("0.0.0.0", 8080)
+                settings.lease shouldBe 3000.milliseconds
+                settings.objectUrl shouldBe "http://127.0.0.1:2"
+                settings.mechanisms.has(Mechanism.DRAIN) shouldBe false
+                settings.mechanisms.has(Mechanism.FRESHNESS) shouldBe true
+            }
+
+            it("have all faults listed at once") {
+                subjects(
+                    "gateway --id a/b --http nowhere --lease-ms 0 --unsafe-disable LUCK --admin 1:99999",
+                ) shouldContainAll
+                    listOf(
+                        "--id",
+                        "--environment",
+                        "--http",
+                        "--link",
+                        "--table-url",
+                        "--lease-ms",
+                        "--unsafe-disable",
+                        "--admin",
+                    )
+                subjects("gateway --colour red --id") shouldContainExactlyInAnyOrder listOf("--colour", "red", "--id")
+                subjects("gateway --id g1 --http 127.0.0.1:0 $places $urls --renew-interval-ms 4000") shouldBe
+                    listOf("--renew-interval-ms")
+            }
+        }
+
+        describe("the settings of a sidecar") {
+            it("name what its target serves") {
+                val line = "sidecar --target t1 $places --target-url http://127.0.0.1:9"
+                parse("$line --kind model --models m1,m2").isRight() shouldBe true
+                sidecar.shouldNotBeNull().models.map { it.value } shouldBe listOf("m1", "m2")
+                subjects("$line --kind model") shouldBe listOf("--models")
+                subjects("$line --kind oven") shouldBe listOf("--kind")
+            }
+        }
+
+        describe("another role") {
+            it("is a fault") {
+                subjects("balancer") shouldBe listOf("chestnutloomd")
+            }
+        }
+    })
--- /dev/null
+++ b/chestnutloom-platform/src/main/kotlin/org/chestnutloom/platform/flag/FlagParser.kt
@@ -0,0 +1,95 @@
+package org.chestnutloom.platform.flag
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toImmutableList
+
+/**
+ * Reads the arguments of one command; `--help` prints its flags and ends the process.
+ *
+ * @property program the command as its user types it
+ * @property arguments names of the arguments besides flags, all of them required
+ */
+public class FlagParser(
+    private val program: String,
+    private val flags: List<Flag>,
+    private val arguments: List<String> = emptyList(),
+) {
+    private val byOption = flags.associateBy { "--${it.name}" }
+
+    /** Reads [args], with the variables of [environment] for flags that are not given; lists every fault. */
+    public fun parse(
+        args: List<String>,
+        environment: Map<String, String>,
+    ): Either<ImmutableList<UsageFault>, FlagValues> {
+        val words = args.flatMap { splitAssignment(it) }
+        val faults = if (words.any { it in HELP }) emptyList() else faultsOf(words)
+        return if (faults.isEmpty()) read(words, environment).right() else faults.toImmutableList().left()
+    }
+
+    private fun read(
+        words: List<String>,
+        environment: Map<String, String>,
+    ): FlagValues {
+        val parser = ArgParser(program)
+        val switches =
+            flags.filter { it.isSwitch }.associateWith {
+                parser.option(
+                    ArgType.Boolean,
+                    it.name,
+                    null,
+                    help(it),
+                )
+            }
+        val options =
+            flags.filterNot { it.isSwitch }.associateWith {
+                parser.option(
+                    ArgType.String,
+                    it.name,
+                    null,
+                    help(it),
+                )
+            }
+        val positions = arguments.associateWith { parser.argument(ArgType.String, it) }
+        parser.parse(words.toTypedArray())
+        val given = (switches + options).mapValues { (_, option) -> option.value?.toString() }
+        val values = flags.associate { it.name to (given[it] ?: environment[it.variable]) }
+        return FlagValues(values, positions.mapValues { it.value.value })
+    }
+
+    private fun help(flag: Flag): String = "${flag.description} [${flag.variable}]"
+
+    private fun faultsOf(words: List<String>): List<UsageFault> {
+        val faults = mutableListOf<UsageFault>()
+        val positions = mutableListOf<String>()
+        val queue = ArrayDeque(words)
+        while (queue.isNotEmpty()) {
+            val word = queue.removeFirst()
+            val flag = byOption[word]
+            when {
+                flag == null && word.startsWith("-") -> faults += UsageFault(word, "is not a flag")
+                flag == null -> positions += word
+                !flag.isSwitch && queue.removeFirstOrNull() == null -> faults += UsageFault(word, "needs a value")
+            }
+        }
+        return faults + argumentFaults(positions)
+    }
+
+    private fun argumentFaults(positions: List<String>): List<UsageFault> {
+        val missing = arguments.drop(positions.size).map { UsageFault(it, "is missing") }
+        return missing + positions.drop(arguments.size).map { UsageFault(it, "is not expected") }
+    }
+
+    private fun splitAssignment(word: String): List<String> {
+        val isAssignment = word.startsWith("--") && word.substringBefore('=') in byOption
+        return if (isAssignment) word.split('=', limit = 2) else listOf(word)
+    }
+
+    private companion object {
+        private val HELP = setOf("--help", "-h")
+    }
+}
--- /dev/null
+++ b/chestnutloom-platform/src/main/kotlin/org/chestnutloom/platform/flag/UsageFault.kt
@@ -0,0 +1,13 @@
+package org.chestnutloom.platform.flag
+
+/**
+ * One fault of how a program was called.
+ *
+ * @property subject the flag or argument at fault
+ */
+public data class UsageFault(
+    public val subject: String,
+    public val problem: String,
+) {
+    override fun toString(): String = "$subject: $problem"
+}
