Contract: Run calls once beside their target, in fair or FIFO order

Cause: nothing stood beside the targets yet, so nothing queued calls, suppressed duplicates or told a lost reply from a call that was not run. Ruled out: a start bound over all accounts against starvation, because an account that floods the queue would take the target over by it; it holds within an account. Ruled out: trusting the HTTP client on chunked bodies, because it took a body that was cut between two chunks for a whole one; such bodies count as whole only when they are whole JSON. Change: duplicate table, fair and FIFO queues, wait estimate, retry budget, backoff and crash ledger in the library; in the sidecar the handler for RunCall, AttachCall, QueryCall, CancelCall, ForgetCalls, WatchLoad and withdrawn keys, and the HTTP target with resumption of engine streams. CallRequest.runAlone (default false) is new, by which gateways have a suspected body run alone. Not there yet: links, cache leases, orders, graceful stop.

--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarSettings.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarSettings.kt
@@ -4,6 +4,7 @@
 import org.chestnutloom.id.ModelName
 import org.chestnutloom.id.TargetId
 import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.queue.QueuePolicy
 import org.chestnutloom.wire.link.PeerAddress
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -19,10 +20,12 @@
  * @property models the models that the engine serves; empty for plain services
  * @property services the plain services that the target runs; empty for engines
  * @property maxRunning the most calls that run on the target at once
+ * @property queuePolicy the order in which queued calls start
  * @property gatewaySilence how long after a gateway's newest proof its queued calls may still start
  * @property answerRetention how long an ended call's answer is kept when no gateway says that it is durable
  * @property idRetention how long the ids of calls are remembered, so that none runs twice
  * @property programRetention how long the engine keeps memory for a program that no gateway speaks of
+ * @property programIdleLimit how long the engine keeps memory for a program that has no call
  */
 public data class SidecarSettings(
     public val target: TargetId,
@@ -35,12 +38,14 @@
     public val models: List<ModelName>,
     public val services: List<String>,
     public val maxRunning: Int,
+    public val queuePolicy: QueuePolicy = QueuePolicy.FAIR,
     public val heartbeatInterval: Duration = 500.milliseconds,
     public val linkSilence: Duration = 2.seconds,
     public val gatewaySilence: Duration = 4.seconds,
     public val answerRetention: Duration = 30.minutes,
     public val idRetention: Duration = 60.minutes,
     public val programRetention: Duration = 30.seconds,
+    public val programIdleLimit: Duration = 10.minutes,
     public val cacheSweepInterval: Duration = 2.seconds,
     public val loadReportInterval: Duration = 100.milliseconds,
     public val stopTimeout: Duration = 60.seconds,
--- /dev/null
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallDesk.kt
@@ -0,0 +1,129 @@
+package org.chestnutloom.sidecar.call
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.id.CallId
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.once.Claim
+import org.chestnutloom.once.DuplicateTable
+import org.chestnutloom.once.RunState
+import org.chestnutloom.once.RunStatus
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.link.PeerIdentity
+import org.chestnutloom.wire.message.CallRequest
+import org.chestnutloom.wire.message.CallState
+import org.chestnutloom.wire.message.CallStatus
+import kotlin.time.Duration
+
+/** Keeps the calls that the sidecar has, with their answers, and lets each id run once. */
+internal class CallDesk(
+    private val table: DuplicateTable<CallRecord>,
+    private val memory: AnswerMemory,
+    private val clock: Clock,
+    private val mechanisms: Mechanisms,
+) {
+    /** Returns the call [id] if its record is kept. */
+    fun find(id: CallId): CallRecord? = table.find(id)?.value
+
+    /** Returns the calls that run at the target. */
+    fun running(): List<CallRecord> = table.running()
+
+    /** Finds the run of [request], or opens one; [Admission.isNew] tells which. */
+    fun admit(
+        sender: PeerIdentity,
+        request: CallRequest,
+    ): Either<Refusal, Admission> {
+        if (!mechanisms.has(Mechanism.DUPLICATE_SUPPRESSION)) table.remove(request.id)
+        val bytes = AnswerMemory.estimate(request)
+        if (!memory.reserve(bytes)) return joinOnly(sender, request)
+        val claim =
+            table.claim(request.id, request.attempt) { CallRecord(request, sender, clock.elapsed(), bytes) }
+        if (claim !is Claim.First) memory.release(bytes)
+        return when (claim) {
+            is Claim.First -> open(claim)
+            is Claim.Repeat -> join(claim.value, sender, request)
+            Claim.Forgotten -> Refusals.forgotten.left()
+            Claim.Fenced -> Refusals.fenced.left()
+            Claim.Full -> Refusals.idsFull.left()
+        }
+    }
+
+    /** Marks [record] as running; returns false when it must not start any more. */
+    fun start(record: CallRecord): Boolean = table.start(record.request.id, record.request.attempt)
+
+    /** Marks [record] as ended. */
+    fun end(
+        record: CallRecord,
+        mayRepeat: Boolean,
+    ) {
+        table.end(record.request.id, record.request.attempt, mayRepeat)
+    }
+
+    /** Marks [record] as not run, and frees its memory. */
+    fun refuse(record: CallRecord) {
+        val isRefused = table.refuse(record.request.id, record.request.attempt)
+        if (isRefused) memory.release(record.reservedBytes)
+    }
+
+    /** Reports [id], and sees to it that it never runs when that is what is reported. */
+    fun fence(
+        id: CallId,
+        includeQueued: Boolean,
+    ): RunStatus<CallRecord> {
+        if (!mechanisms.has(Mechanism.NOT_RUN_FENCE)) return unfenced(id)
+        val status = table.fence(id, includeQueued)
+        if (status.state == RunState.NOT_RUN) status.value?.let { memory.release(it.reservedBytes) }
+        return status
+    }
+
+    /** Drops the answers of [ids], which are durable elsewhere. */
+    fun forget(ids: List<CallId>) {
+        ids.mapNotNull { table.forget(it) }.forEach { memory.release(it.reservedBytes) }
+    }
+
+    /** Drops answers and ids that were kept for long enough. */
+    fun expire(
+        answerRetention: Duration,
+        idRetention: Duration,
+    ) {
+        val now = clock.elapsed()
+        val dropped = table.expireValues(now - answerRetention) + table.expireIds(now - idRetention)
+        dropped.forEach { memory.release(it.reservedBytes) }
+    }
+
+    private fun open(claim: Claim.First<CallRecord>): Either<Refusal, Admission> {
+        claim.replaced?.let { memory.release(it.reservedBytes) }
+        return Admission(claim.value, isNew = true).right()
+    }
+
+    private fun unfenced(id: CallId): RunStatus<CallRecord> = table.find(id) ?: RunStatus(RunState.NOT_RUN, null)
+
+    private fun joinOnly(
+        sender: PeerIdentity,
+        request: CallRequest,
+    ): Either<Refusal, Admission> {
+        val known = find(request.id) ?: return Refusals.memoryFull.left()
+        return join(known, sender, request)
+    }
+
+    private fun join(
+        record: CallRecord,
+        sender: PeerIdentity,
+        request: CallRequest,
+    ): Either<Refusal, Admission> {
+        if (record.request.bodyHash != request.bodyHash) return Refusals.mismatch.left()
+        record.sender = sender
+        return Admission(record, isNew = false).right()
+    }
+
+    companion object {
+        /** Returns the reply to a question about a call with [status]. */
+        fun statusReply(status: RunStatus<CallRecord>): CallStatus {
+            if (status.state == RunState.NOT_RUN) return CallStatus(CallState.NOT_RUN)
+            return status.value?.status() ?: CallStatus(CallState.ENDED, refusal = Refusals.forgotten)
+        }
+    }
+}
--- /dev/null
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallLauncher.kt
@@ -0,0 +1,136 @@
+package org.chestnutloom.sidecar.call
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.chestnutloom.call.Execution
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.platform.log.event
+import org.chestnutloom.quarantine.CrashVerdict
+import org.chestnutloom.sidecar.SidecarMetrics
+import org.chestnutloom.sidecar.crash.CrashWatch
+import org.chestnutloom.sidecar.gate.StartGate
+import org.chestnutloom.sidecar.load.LoadReporter
+import org.chestnutloom.sidecar.schedule.CallEndListener
+import org.chestnutloom.sidecar.schedule.CallStarter
+import org.chestnutloom.sidecar.trace.CallSpans
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.message.CallEnded
+import org.chestnutloom.wire.message.CallRefused
+import org.chestnutloom.wire.message.LinkReply
+
+/** Takes calls from the queue to the target and back to those who wait for their answers. */
+internal class CallLauncher(
+    private val desk: CallDesk,
+    private val gate: StartGate,
+    private val runner: CallRunner,
+    private val crashes: CrashWatch,
+    private val reporter: LoadReporter,
+    private val spans: CallSpans,
+    private val metrics: SidecarMetrics,
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+) : CallStarter {
+    private val logger = KotlinLogging.logger {}
+
+    override fun mustRunAlone(record: CallRecord): Boolean =
+        record.request.runAlone || crashes.verdictOf(record.request.bodyHash) == CrashVerdict.SUSPECT
+
+    override fun start(
+        record: CallRecord,
+        onEnd: CallEndListener,
+    ): Boolean {
+        val refusal = refusalOf(record)
+        if (refusal != null) {
+            refuse(record, refusal)
+            return false
+        }
+        if (!desk.start(record)) return false
+        scope.launch { run(record, onEnd) }
+        return true
+    }
+
+    /** Ends [record], which has not started, with [refusal]. */
+    fun refuse(
+        record: CallRecord,
+        refusal: Refusal,
+    ) {
+        metrics.recordRefusal(refusal)
+        logRefusal(record, refusal)
+        record.end(CallRefused(refusal))
+        desk.refuse(record)
+        reporter.onChange()
+    }
+
+    private fun refusalOf(record: CallRecord): Refusal? {
+        val isQuarantined = crashes.verdictOf(record.request.bodyHash) == CrashVerdict.QUARANTINED
+        return if (isQuarantined) Refusals.quarantined else gate.refusalOf(record)
+    }
+
+    private suspend fun run(
+        record: CallRecord,
+        onEnd: CallEndListener,
+    ) {
+        val startedAt = clock.elapsed()
+        val isAlone = mustRunAlone(record)
+        val span = spans.start(record)
+        val queuedMs = (startedAt - record.arrivedAt).inWholeMilliseconds
+        record.markStarted(queuedMs)
+        metrics.recordStart(queuedMs)
+        crashes.onSent(record.request.bodyHash)
+        reporter.announce(record.sender)
+        val reply = runner.run(record, spans.traceParentOf(span))
+        crashes.onEnded(record.request.bodyHash, survivedAlone = isAlone && reply is CallEnded)
+        record.end(reply)
+        settle(record, reply)
+        spans.end(span, reply)
+        val service = clock.elapsed() - startedAt
+        onEnd.onEnd(usedTokens(record, reply), service.takeIf { reply is CallEnded })
+        reporter.onChange()
+    }
+
+    private fun settle(
+        record: CallRecord,
+        reply: LinkReply,
+    ) {
+        if (reply is CallEnded) {
+            metrics.recordService(reply.serviceMs)
+            desk.end(record, mayRepeat = false)
+            return
+        }
+        val refusal = (reply as CallRefused).refusal
+        metrics.recordRefusal(refusal)
+        logRefusal(record, refusal)
+        if (refusal.execution == Execution.NOT_RUN) {
+            desk.refuse(record)
+        } else {
+            desk.end(record, mayRepeat = record.request.idempotent && refusal.code in repeatable)
+        }
+    }
+
+    private fun usedTokens(
+        record: CallRecord,
+        reply: LinkReply,
+    ): Long {
+        val used = (reply as? CallEnded)?.usage?.totalTokens ?: 0
+        return if (used > 0) used else record.request.promptTokens.coerceAtLeast(1)
+    }
+
+    private fun logRefusal(
+        record: CallRecord,
+        refusal: Refusal,
+    ) {
+        logger.event(
+            "call_refused",
+            "call" to record.request.id,
+            "code" to refusal.code.wireName,
+            "execution" to refusal.execution.name.lowercase(),
+            "waited_ms" to (clock.elapsed() - record.arrivedAt).inWholeMilliseconds,
+        )
+    }
+
+    private companion object {
+        val repeatable = setOf(RefusalCode.TARGET_LOST, RefusalCode.TARGET_ERROR)
+    }
+}
--- /dev/null
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallRunner.kt
@@ -0,0 +1,172 @@
+package org.chestnutloom.sidecar.call
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.call.CallKind
+import org.chestnutloom.call.Execution
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.call.Usage
+import org.chestnutloom.retry.Backoff
+import org.chestnutloom.sidecar.SidecarMetrics
+import org.chestnutloom.sidecar.target.CompletionAssembler
+import org.chestnutloom.sidecar.target.Target
+import org.chestnutloom.sidecar.target.TargetEvent
+import org.chestnutloom.sidecar.target.TargetFailure
+import org.chestnutloom.sidecar.target.TargetMonitor
+import org.chestnutloom.sidecar.target.lost
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.message.CallEnded
+import org.chestnutloom.wire.message.CallRefused
+import org.chestnutloom.wire.message.LinkReply
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Runs calls on the target and turns what the target does into the last reply of each call. */
+internal class CallRunner(
+    private val target: Target,
+    private val monitor: TargetMonitor,
+    private val metrics: SidecarMetrics,
+    private val clock: Clock,
+    private val backoff: Backoff = Backoff(),
+) {
+    /** Runs [record] to its end and returns its last reply. */
+    suspend fun run(
+        record: CallRecord,
+        traceParent: String?,
+    ): LinkReply {
+        val limit = record.request.runTimeoutMs.milliseconds
+        val reply = withTimeoutOrNull(limit) { runUnlessStopped(record, traceParent) }
+        if (reply == null) target.cancel(record.request.id)
+        return reply ?: refused(record, Refusals.timeout)
+    }
+
+    private suspend fun runUnlessStopped(
+        record: CallRecord,
+        traceParent: String?,
+    ): LinkReply =
+        coroutineScope {
+            val work = async { execute(record, traceParent) }
+            val stopped =
+                select {
+                    work.onAwait { it }
+                    record.stopRequest.onAwait { null }
+                }
+            if (stopped != null) return@coroutineScope stopped
+            work.cancel()
+            target.cancel(record.request.id)
+            refused(record, record.stopRequest.await())
+        }
+
+    private suspend fun execute(
+        record: CallRecord,
+        traceParent: String?,
+    ): LinkReply {
+        val startedAt = clock.elapsed()
+        var event = lastEvent(record) { target.run(record.request, traceParent) }
+        var failures = 0
+        while (canResume(record, event) && failures < MAX_RESUMES) {
+            val before = record.current.chunks.size
+            failures++
+            metrics.recordResume()
+            delay(backoff.delay(failures, Random.Default))
+            event = afterSending(lastEvent(record) { target.resume(record.request.id, before) })
+            if (record.current.chunks.size > before) failures = 0
+        }
+        val serviceMs = (clock.elapsed() - startedAt).inWholeMilliseconds
+        return replyTo(record, event, serviceMs)
+    }
+
+    /** Collects the answer's chunks and returns the event that ended it. */
+    private suspend fun lastEvent(
+        record: CallRecord,
+        answer: () -> Flow<TargetEvent>,
+    ): TargetEvent {
+        var last: TargetEvent = TargetEvent.Failed(TargetFailure.Lost("The target sent nothing."))
+        answer().collect { event ->
+            if (event is TargetEvent.Chunk) record.append(event.data) else last = event
+        }
+        return last
+    }
+
+    /** Tells whether the engine may still hold the rest of a stream that was cut off. */
+    private suspend fun canResume(
+        record: CallRecord,
+        event: TargetEvent,
+    ): Boolean {
+        val failure = (event as? TargetEvent.Failed)?.failure ?: return false
+        if (failure !is TargetFailure.Lost && failure != TargetFailure.UnknownRequest) return false
+        val isGone = monitor.onLost(record, failure)
+        return !isGone && record.request.kind == CallKind.MODEL && record.request.stream
+    }
+
+    /** The call was sent before it is resumed, so a resumption that was not sent counts as lost. */
+    private fun afterSending(event: TargetEvent): TargetEvent {
+        val failure = (event as? TargetEvent.Failed)?.failure
+        return if (failure is TargetFailure.NotSent) lost(failure.detail) else event
+    }
+
+    private fun replyTo(
+        record: CallRecord,
+        event: TargetEvent,
+        serviceMs: Long,
+    ): LinkReply =
+        when (event) {
+            is TargetEvent.Answer -> answered(record, event, serviceMs)
+            TargetEvent.StreamEnd -> streamed(record, serviceMs)
+            is TargetEvent.Chunk -> CallRefused(Refusals.internal)
+            is TargetEvent.Failed -> refused(record, refusalFor(event.failure))
+        }
+
+    private fun answered(
+        record: CallRecord,
+        answer: TargetEvent.Answer,
+        serviceMs: Long,
+    ): LinkReply {
+        val isEngine = record.request.kind == CallKind.MODEL
+        if (isEngine && answer.status >= SERVER_ERROR) return CallRefused(targetError(answer.status))
+        val usage = if (isEngine) CompletionAssembler.usageOf(listOf(answer.body)) else Usage()
+        return CallEnded(answer.status, answer.contentType, answer.body, chunks = 0, usage, serviceMs)
+    }
+
+    private fun streamed(
+        record: CallRecord,
+        serviceMs: Long,
+    ): LinkReply {
+        val chunks = record.current.chunks
+        val body = CompletionAssembler.assemble(chunks)
+        return CallEnded(OK, JSON, body, chunks.size, CompletionAssembler.usageOf(chunks), serviceMs)
+    }
+
+    private fun refusalFor(failure: TargetFailure): Refusal =
+        when (failure) {
+            is TargetFailure.NotSent -> Refusals.notRun(RefusalCode.NO_TARGET, "The target takes no connections.")
+            is TargetFailure.Unsendable -> Refusals.badRequest
+            is TargetFailure.Lost -> Refusals.targetLost
+            TargetFailure.UnknownRequest -> Refusals.targetLost
+            TargetFailure.AnswerTooLarge -> Refusals.answerTooLarge
+        }
+
+    private fun targetError(status: Int): Refusal =
+        Refusal(RefusalCode.TARGET_ERROR, Execution.RAN, "The target answered with status $status.")
+
+    /** A call that has sent a part of its answer did run. */
+    private fun refused(
+        record: CallRecord,
+        refusal: Refusal,
+    ): CallRefused {
+        val hasAnswered = record.current.chunks.isNotEmpty()
+        return CallRefused(if (hasAnswered) refusal.copy(execution = Execution.RAN) else refusal)
+    }
+
+    private companion object {
+        const val MAX_RESUMES = 6
+        const val OK = 200
+        const val SERVER_ERROR = 500
+        const val JSON = "application/json"
+    }
+}
--- /dev/null
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/target/TargetHttpClient.kt
@@ -0,0 +1,30 @@
+package org.chestnutloom.sidecar.target
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.plugins.sse.SSE
+
+internal const val REQUEST_ID: String = "X-Request-Id"
+
+private const val CONNECT_TIMEOUT_MS = 2_000L
+private const val MAX_CONNECTIONS = 512
+
+/** Returns a client that sends each request once, on a new connection, and follows no redirects. */
+internal fun targetHttpClient(): HttpClient =
+    HttpClient(CIO) {
+        followRedirects = false
+        expectSuccess = false
+        engine {
+            requestTimeout = 0
+            maxConnectionsCount = MAX_CONNECTIONS
+            endpoint {
+                connectTimeout = CONNECT_TIMEOUT_MS
+                connectAttempts = 1
+                maxConnectionsPerRoute = MAX_CONNECTIONS
+            }
+        }
+        install(SSE) {
+            maxReconnectionAttempts = 0
+        }
+    }
--- /dev/null
+++ b/chestnutloom-sidecar/src/test/kotlin/org/chestnutloom/sidecar/OpenStream.kt
@@ -0,0 +1,18 @@
+package org.chestnutloom.sidecar
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.launch
+import org.chestnutloom.wire.message.LinkReply
+
+/** A stream of replies that is being collected. */
+internal class OpenStream(
+    scope: CoroutineScope,
+    flow: Flow<LinkReply>,
+) {
+    val replies = mutableListOf<LinkReply>()
+    private val job: Job = scope.launch { flow.collect { replies.add(it) } }
+
+    fun drop() = job.cancel()
+}
--- a/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/CallRequest.kt
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/CallRequest.kt
@@ -27,6 +27,8 @@
  * @property queueTimeoutMs how long the call may wait in the queue, in milliseconds
  * @property runTimeoutMs how long the call may run at the target, in milliseconds
  * @property traceParent W3C trace context of the calling span
+ * @property runAlone whether nothing else may run at the target beside the call, because its body is suspected of a
+ *   crash
  */
 @Serializable
 public data class CallRequest(
@@ -53,4 +55,5 @@
     public val queueTimeoutMs: Long,
     public val runTimeoutMs: Long,
     public val traceParent: String?,
+    public val runAlone: Boolean = false,
 )
--- /dev/null
+++ b/chestnutloom/src/main/kotlin/org/chestnutloom/once/Claim.kt
@@ -0,0 +1,28 @@
+package org.chestnutloom.once
+
+/** What a [DuplicateTable] answers to a request to run a call. */
+public sealed interface Claim<out T : Any> {
+    /**
+     * The claimant holds the call and may start it.
+     *
+     * @property replaced what belonged to the run that this one repeats, if it was still kept
+     */
+    public data class First<T : Any>(
+        public val value: T,
+        public val replaced: T? = null,
+    ) : Claim<T>
+
+    /** The call was claimed before, and [value] belongs to that claim. */
+    public data class Repeat<T : Any>(
+        public val value: T,
+    ) : Claim<T>
+
+    /** The call ended, and nothing but its id is kept. */
+    public data object Forgotten : Claim<Nothing>
+
+    /** The call was reported as not run and must never run. */
+    public data object Fenced : Claim<Nothing>
+
+    /** The table holds as many ids as it may. */
+    public data object Full : Claim<Nothing>
+}
--- /dev/null
+++ b/chestnutloom/src/main/kotlin/org/chestnutloom/once/RunEntry.kt
@@ -0,0 +1,23 @@
+package org.chestnutloom.once
+
+import kotlin.time.Duration
+
+/** One immutable entry of a duplicate table. */
+internal data class RunEntry<T : Any>(
+    val state: RunState,
+    val attempt: Int,
+    val value: T?,
+    val changedAt: Duration,
+    val mayRepeat: Boolean = false,
+) {
+    val isOpen: Boolean
+        get() = state == RunState.QUEUED || state == RunState.RUNNING
+
+    /** Tells whether [newAttempt] may run although there is this entry. */
+    fun admits(newAttempt: Int): Boolean {
+        if (newAttempt <= attempt) return false
+        return state == RunState.NOT_RUN || state == RunState.ENDED && mayRepeat
+    }
+
+    fun status(): RunStatus<T> = RunStatus(state, value)
+}
--- /dev/null
+++ b/chestnutloom/src/test/kotlin/org/chestnutloom/queue/CallQueueSpec.kt
@@ -0,0 +1,129 @@
+package org.chestnutloom.queue
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.checkAll
+import org.chestnutloom.id.CallId
+import org.chestnutloom.id.ClientAccountId
+import kotlin.math.abs
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class CallQueueSpec :
+    DescribeSpec({
+        fun call(
+            id: String,
+            account: String = "a",
+            weight: Int = 1,
+            costTokens: Long = 100,
+            programServiceMs: Long = 0,
+            arrivedAt: Duration = Duration.ZERO,
+        ) = QueuedCall(
+            CallId(id),
+            ClientAccountId(account),
+            weight,
+            costTokens,
+            programServiceMs,
+            arrivedAt,
+        )
+
+        fun CallQueue.drain(now: Duration = Duration.ZERO): List<String> =
+            generateSequence { poll(now) }.onEach { settle(it, it.costTokens) }.map { it.id.value }.toList()
+
+        listOf("fair" to { fairQueue() }, "fifo" to { fifoQueue() }).forEach { (name, create) ->
+            describe("the $name queue") {
+                it("gives out every call that it got exactly once, unless it was removed") {
+                    checkAll(Arb.list(Arb.int(0..3), 0..40), Arb.int(0..40)) { accounts, removed ->
+                        val queue = create()
+                        val ids = accounts.mapIndexed { index, account -> "c$index" to "account$account" }
+                        ids.forEach { (id, account) -> queue.add(call(id, account)) }
+                        val gone = queue.remove(CallId("c$removed"))?.id?.value
+                        queue.queuedTokens shouldBe queue.size * 100L
+                        queue.drain() shouldContainExactlyInAnyOrder ids.map { it.first }.filter { it != gone }
+                        queue.size shouldBe 0
+                        queue.queuedTokens shouldBe 0
+                    }
+                }
+            }
+        }
+
+        describe("the fair queue across accounts") {
+            it("does not let a flood of one account hold up another") {
+                val queue = fairQueue()
+                repeat(50) { queue.add(call("flood$it", "large")) }
+                repeat(3) { queue.add(call("small$it", "small")) }
+                queue.drain().take(6).count { it.startsWith("small") } shouldBe 3
+            }
+            it("shares tokens by weight as long as both accounts wait") {
+                checkAll(Arb.int(1..5), Arb.int(1..5)) { weightA, weightB ->
+                    val queue = fairQueue()
+                    repeat(60) { queue.add(call("a$it", "a", weightA)) }
+                    repeat(60) { queue.add(call("b$it", "b", weightB)) }
+                    val served = queue.drain().take(60)
+                    val servedA = served.count { it.startsWith("a") }
+                    val fairA = 60.0 * weightA / (weightA + weightB)
+                    abs(servedA - fairA) shouldBeLessThanOrEqualTo 2.0
+                }
+            }
+            it("starts an arriving account level with the least served one") {
+                val queue = fairQueue()
+                repeat(20) { queue.add(call("old$it", "old")) }
+                repeat(10) { queue.poll(Duration.ZERO) }
+                repeat(10) { queue.add(call("new$it", "new")) }
+                val next = List(10) { queue.poll(Duration.ZERO)?.account?.value }
+                next.count { it == "new" } shouldBe 5
+            }
+            it("charges what a call took, not what it was estimated at") {
+                val queue = fairQueue()
+                queue.add(call("a0", "a"))
+                queue.add(call("a1", "a"))
+                queue.add(call("b0", "b"))
+                queue.add(call("b1", "b"))
+                val first = queue.poll(Duration.ZERO)
+                first?.id shouldBe CallId("a0")
+                first?.let { queue.settle(it, usedTokens = 1_000) }
+                List(2) { queue.poll(Duration.ZERO)?.id?.value } shouldContainExactly listOf("b0", "b1")
+            }
+            it("estimates fewer tokens ahead of a small account than of the flooding one") {
+                val queue = fairQueue()
+                repeat(50) { queue.add(call("flood$it", "large")) }
+                queue.tokensAhead(call("x", "large", programServiceMs = 1)) shouldBe 5_000
+                queue.tokensAhead(call("x", "small")) shouldBe 0
+            }
+        }
+
+        describe("the fair queue within an account") {
+            it("prefers the program that got the least service") {
+                val queue = fairQueue()
+                queue.add(call("long", programServiceMs = 9_000))
+                queue.add(call("short", programServiceMs = 10, arrivedAt = 1.milliseconds))
+                queue.drain(now = 2.milliseconds) shouldContainExactly listOf("short", "long")
+            }
+            it("serves a starved call before better placed ones of its account") {
+                val queue = fairQueue(starvationBound = 5.seconds)
+                queue.add(call("long", programServiceMs = 9_000))
+                queue.add(call("short", programServiceMs = 10, arrivedAt = 5.seconds))
+                queue.drain(now = 6.seconds) shouldContainExactly listOf("long", "short")
+            }
+        }
+
+        describe("the wait estimator") {
+            it("expects no wait while there is room") {
+                val estimator = WaitEstimator()
+                estimator.record(100, 1.seconds)
+                estimator.expectedWait(tokensAhead = 0, running = 3, maxRunning = 4) shouldBe Duration.ZERO
+            }
+            it("expects the queue ahead to be served at the recent speed") {
+                val estimator = WaitEstimator()
+                repeat(10) { estimator.record(100, 2.seconds) }
+                estimator.expectedWait(tokensAhead = 700, running = 4, maxRunning = 4) shouldBe 4.seconds
+            }
+        }
+    })
