--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/GatewaySettings.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/GatewaySettings.kt
@@ -2,6 +2,7 @@
 
 import org.chestnutloom.id.GatewayId
 import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.rate.RatePolicy
 import org.chestnutloom.route.RoutingPolicyKind
 import org.chestnutloom.wire.link.PeerAddress
 import kotlin.time.Duration
@@ -22,6 +23,7 @@
  * @property heartbeatInterval how often each link carries a heartbeat
  * @property linkSilence how long a link may be silent before it counts as lost
  * @property routingPolicy how calls are spread over targets
+ * @property ratePolicy how a client account's rate and burst are divided among gateways
  * @property stopTimeout how long a planned stop waits for requests under way
  */
 public data class GatewaySettings(
@@ -44,5 +46,6 @@
     public val storeTimeout: Duration = 1.seconds,
     public val routingPolicy: RoutingPolicyKind = RoutingPolicyKind.COST,
     public val stopTimeout: Duration = 60.seconds,
+    public val ratePolicy: RatePolicy = RatePolicy.ESCROW,
     public val mechanisms: Mechanisms = Mechanisms.ALL,
 )
