Put the sidecar behind its link, with cache leases and a planned stop

Cause: the core of the sidecar had no sockets, the engine's memory of gone programs was freed by nobody, and a planned stop cut calls off. Ruled out: asking plain services for /v1/health to see whether they live, because it would show up among the requests that they get; a TCP connection is enough. Ruled out: trusting heartbeats that lay unread while the sidecar was paused, since they look new when read; after a pause nothing starts for two heartbeat intervals. The cache ledger has no test yet.

--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarCore.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarCore.kt
@@ -3,11 +3,18 @@
 import io.micrometer.core.instrument.MeterRegistry
 import io.opentelemetry.api.trace.Tracer
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.cache.CacheRetention
 import org.chestnutloom.id.Incarnation
 import org.chestnutloom.once.duplicateTable
+import org.chestnutloom.platform.engine.EngineClient
 import org.chestnutloom.queue.QueuePolicy
 import org.chestnutloom.queue.fairQueue
 import org.chestnutloom.queue.fifoQueue
+import org.chestnutloom.sidecar.cache.CacheKeeper
+import org.chestnutloom.sidecar.cache.NoProgramCache
+import org.chestnutloom.sidecar.cache.ProgramCache
 import org.chestnutloom.sidecar.call.AnswerMemory
 import org.chestnutloom.sidecar.call.CallDesk
 import org.chestnutloom.sidecar.call.CallLauncher
@@ -16,6 +23,7 @@
 import org.chestnutloom.sidecar.call.CallService
 import org.chestnutloom.sidecar.crash.CrashWatch
 import org.chestnutloom.sidecar.gate.OwnerEpochs
+import org.chestnutloom.sidecar.gate.PauseGuard
 import org.chestnutloom.sidecar.gate.PeerProofs
 import org.chestnutloom.sidecar.gate.StartGate
 import org.chestnutloom.sidecar.gate.WithdrawnKeys
@@ -26,12 +34,16 @@
 import org.chestnutloom.sidecar.trace.CallSpans
 import org.chestnutloom.time.Clock
 import org.chestnutloom.wire.message.LoadReport
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The parts of a sidecar, put together, without sockets of its own. */
 internal class SidecarCore(
     private val settings: SidecarSettings,
     incarnation: Incarnation,
     target: Target,
+    engine: EngineClient?,
     clock: Clock,
     registry: MeterRegistry,
     tracer: Tracer,
@@ -42,17 +54,20 @@
     private val crashes = CrashWatch("${settings.target}/$incarnation", settings.mechanisms)
     private val reporter: LoadReporter = LoadReporter(settings.loadReportInterval, ::report)
     private val monitor = TargetMonitor(target, crashes, metrics, reporter::onChange)
-    private val proofs = PeerProofs(clock)
+    private val pauses = PauseGuard(clock, settings.mechanisms, settings.heartbeatInterval * HELD_BEATS)
+    private val proofs = PeerProofs(clock, pauses)
+    private val cache = cacheOf(engine, clock)
     private val keys = WithdrawnKeys(settings.mechanisms)
     private val epochs = OwnerEpochs(settings.mechanisms)
     private val desk = CallDesk(duplicateTable<CallRecord>(clock, MAX_IDS), memory, clock, settings.mechanisms)
     private val runner = CallRunner(target, monitor, metrics, clock)
-    private val gate = StartGate(settings, keys, proofs, epochs)
+    private val gate = StartGate(settings, keys, proofs, epochs, pauses)
     private val spans = CallSpans(tracer, settings.target.value)
-    private val launcher = CallLauncher(desk, gate, runner, crashes, reporter, spans, metrics, clock, scope)
+    private val launcher =
+        CallLauncher(desk, gate, runner, crashes, cache, reporter, spans, metrics, clock, scope)
     private val scheduler = CallScheduler(clock, queueFor(settings.queuePolicy), settings.maxRunning, launcher)
 
-    val calls = CallService(settings, desk, scheduler, launcher, proofs, epochs, keys, metrics, clock)
+    val calls = CallService(settings, desk, scheduler, launcher, proofs, epochs, keys, cache, metrics, clock)
     val handler = SidecarHandler(calls, proofs, reporter)
 
     init {
@@ -64,6 +79,58 @@
         monitor.probe()
     }
 
+    /** Refuses what waited too long, and starts what can start. */
+    fun tick() {
+        pauses.tick()
+        calls.expireQueue()
+        scheduler.dispatch()
+    }
+
+    /** Drops what was kept for long enough. */
+    fun expire() {
+        desk.expire(settings.answerRetention, settings.idRetention)
+        proofs.expire(settings.programRetention)
+    }
+
+    /** Compares the engine's memory with the programs that may hold it. */
+    suspend fun sweepCache() {
+        val running = desk.running().mapNotNullTo(HashSet()) { it.request.program }
+        cache.sweep(running, proofs.livePeers(settings.gatewaySilence))
+        reporter.onChange()
+    }
+
+    /**
+     * Takes no new calls, lets running ones end and hands over their answers, but not for longer than [timeout].
+     *
+     * Returns whether all calls ended in time.
+     */
+    suspend fun drain(timeout: Duration): Boolean {
+        calls.beginStop()
+        reporter.onChange()
+        val drained =
+            withTimeoutOrNull(timeout) {
+                pollUntil {
+                    scheduler.load().runningCalls == 0 &&
+                        calls.openStreams == 0
+                }
+            }
+        withTimeoutOrNull(HANDOVER_TIMEOUT) { pollUntil { memory.used == 0L } }
+        return drained != null
+    }
+
+    private suspend fun pollUntil(condition: () -> Boolean) {
+        while (!condition()) delay(DRAIN_POLL)
+    }
+
+    private fun cacheOf(
+        engine: EngineClient?,
+        clock: Clock,
+    ): ProgramCache {
+        if (engine == null) return NoProgramCache
+        val retention = CacheRetention(settings.programRetention, settings.programIdleLimit)
+        return CacheKeeper(engine, retention, settings.mechanisms, metrics, clock)
+    }
+
     private fun report(): LoadReport {
         val load = scheduler.load()
         return LoadReport(
@@ -75,7 +142,7 @@
             prefillTokensPerSecond = 0.0,
             models = settings.models,
             services = settings.services,
-            cachedPrograms = emptyMap(),
+            cachedPrograms = cache.tokens,
             inFlightHashes = crashes.inFlightHashes,
             crashedHashes = crashes.crashedHashes,
             draining = calls.isStopping,
@@ -86,6 +153,13 @@
     private companion object {
         const val MAX_IDS = 100_000
 
+        /** Heartbeat intervals after a pause during which heartbeats do not count. */
+        const val HELD_BEATS = 2
+
+        /** How long a drained sidecar waits until gateways have called its answers durable. */
+        val HANDOVER_TIMEOUT = 3.seconds
+        val DRAIN_POLL = 20.milliseconds
+
         fun queueFor(policy: QueuePolicy) =
             when (policy) {
                 QueuePolicy.FAIR -> fairQueue()
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarMetrics.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarMetrics.kt
@@ -17,6 +17,14 @@
     private val resumes: Counter = registry.counter("chestnutloom.sidecar.stream.resumes")
     private val crashes: Counter = registry.counter("chestnutloom.sidecar.target.crashes")
 
+    /** Tokens that the engine's cache held for programs at the last sweep. */
+    @Volatile
+    var cachedTokens: Long = 0
+
+    init {
+        registry.gauge("chestnutloom.sidecar.cache.tokens", this) { it.cachedTokens.toDouble() }
+    }
+
     /** Registers the gauges, which read the sidecar's state when they are scraped. */
     fun watch(
         load: () -> QueueLoad,
@@ -36,6 +44,10 @@
         registry.counter("chestnutloom.sidecar.refusals", "code", refusal.code.wireName).increment()
     }
 
+    /** Counts a program whose cache was freed because of [cause], `ended` or `swept`. */
+    fun recordRelease(cause: String) =
+        registry.counter("chestnutloom.sidecar.cache.releases", "cause", cause).increment()
+
     fun recordResume() = resumes.increment()
 
     fun recordCrash() = crashes.increment()
--- /dev/null
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarNode.kt
@@ -0,0 +1,72 @@
+package org.chestnutloom.sidecar
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.job
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.platform.log.event
+import org.chestnutloom.platform.node.Node
+import org.chestnutloom.platform.node.NodeEndpoints
+import org.chestnutloom.sidecar.target.Target
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.link.HeartbeatSource
+import org.chestnutloom.wire.link.LinkOptions
+import org.chestnutloom.wire.link.PeerIdentity
+import org.chestnutloom.wire.link.linkServer
+
+/** A sidecar as a node: its core behind a link server. */
+internal class SidecarNode(
+    private val settings: SidecarSettings,
+    identity: PeerIdentity,
+    private val core: SidecarCore,
+    private val target: Target,
+    heartbeats: HeartbeatSource,
+    clock: Clock,
+    private val scope: CoroutineScope,
+) : Node {
+    private val logger = KotlinLogging.logger {}
+    private val links =
+        linkServer(settings.link, identity, core.handler, heartbeats, linkOptions(settings), clock, scope)
+    private val housekeeping = Housekeeping(core, settings.cacheSweepInterval)
+
+    @Volatile
+    override var isReady: Boolean = false
+        private set
+
+    @Volatile
+    override var endpoints: NodeEndpoints = NodeEndpoints(httpPort = null, linkPort = 0)
+        private set
+
+    override suspend fun start() {
+        housekeeping.start(scope)
+        endpoints = NodeEndpoints(httpPort = null, linkPort = links.start())
+        isReady = true
+    }
+
+    override suspend fun stopGracefully() {
+        isReady = false
+        if (settings.mechanisms.has(Mechanism.GRACEFUL_STOP)) {
+            logger.event("sidecar_draining", "target" to settings.target)
+            val drained = core.drain(settings.stopTimeout)
+            logger.event("sidecar_drained", "target" to settings.target, "in_time" to drained)
+        }
+        links.stop()
+        target.close()
+        scope.cancel()
+    }
+
+    companion object {
+        /** Returns a scope below [outer] whose failures do not reach it. */
+        fun childScope(outer: CoroutineScope): CoroutineScope =
+            CoroutineScope(outer.coroutineContext + SupervisorJob(outer.coroutineContext.job))
+
+        private fun linkOptions(settings: SidecarSettings): LinkOptions =
+            LinkOptions(
+                heartbeatInterval = settings.heartbeatInterval,
+                silence = settings.linkSilence,
+                mechanisms = settings.mechanisms,
+            )
+    }
+}
--- /dev/null
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/cache/CacheKeeper.kt
@@ -0,0 +1,84 @@
+package org.chestnutloom.sidecar.cache
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.chestnutloom.cache.CacheLedger
+import org.chestnutloom.cache.CacheRetention
+import org.chestnutloom.cache.CacheSweep
+import org.chestnutloom.id.ProgramId
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.platform.engine.EngineClient
+import org.chestnutloom.platform.log.event
+import org.chestnutloom.sidecar.SidecarMetrics
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.link.PeerIdentity
+import java.util.concurrent.atomic.AtomicReference
+
+/** Leases the engine's memory to programs, and frees it when they are gone. */
+internal class CacheKeeper(
+    private val engine: EngineClient,
+    private val retention: CacheRetention,
+    private val mechanisms: Mechanisms,
+    private val metrics: SidecarMetrics,
+    private val clock: Clock,
+) : ProgramCache {
+    private val logger = KotlinLogging.logger {}
+    private val ledger = AtomicReference(CacheLedger.EMPTY)
+
+    override val tokens: Map<ProgramId, Long>
+        get() = ledger.get().tokens
+
+    override fun mention(
+        program: ProgramId,
+        holder: PeerIdentity,
+    ) {
+        ledger.updateAndGet { it.mention(program, nameOf(holder), clock.elapsed()) }
+    }
+
+    override fun hold(
+        program: ProgramId,
+        tokens: Long,
+    ) {
+        ledger.updateAndGet { it.hold(program, tokens) }
+    }
+
+    override suspend fun end(program: ProgramId) {
+        ledger.updateAndGet { it.end(program, clock.elapsed()) }
+        release(setOf(program), "ended")
+    }
+
+    override suspend fun sweep(
+        running: Set<ProgramId>,
+        liveHolders: Set<PeerIdentity>,
+    ) {
+        val listing = engine.cachedPrograms().getOrNull() ?: return
+        metrics.cachedTokens = listing.values.sum()
+        val holders = liveHolders.mapTo(HashSet()) { nameOf(it) }
+        val now = clock.elapsed()
+        val sweep = ledger.updateAndReturn { it.sweep(listing, running, holders, now, retention) }
+        release(sweep, "swept")
+    }
+
+    private suspend fun release(
+        programs: Set<ProgramId>,
+        cause: String,
+    ) {
+        if (!mechanisms.has(Mechanism.CACHE_RELEASE)) return
+        programs.forEach { program ->
+            val released = engine.release(program).isRight()
+            if (released) metrics.recordRelease(cause)
+            logger.event("cache_released", "program" to program, "cause" to cause, "done" to released)
+        }
+    }
+
+    /** Replaces the ledger by the one of the sweep that [sweep] makes, and returns the programs to release. */
+    private fun AtomicReference<CacheLedger>.updateAndReturn(sweep: (CacheLedger) -> CacheSweep): Set<ProgramId> {
+        while (true) {
+            val before = get()
+            val result = sweep(before)
+            if (compareAndSet(before, result.ledger)) return result.release
+        }
+    }
+
+    private fun nameOf(peer: PeerIdentity): String = "${peer.id}/${peer.incarnation}"
+}
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallLauncher.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallLauncher.kt
@@ -9,6 +9,7 @@
 import org.chestnutloom.platform.log.event
 import org.chestnutloom.quarantine.CrashVerdict
 import org.chestnutloom.sidecar.SidecarMetrics
+import org.chestnutloom.sidecar.cache.ProgramCache
 import org.chestnutloom.sidecar.crash.CrashWatch
 import org.chestnutloom.sidecar.gate.StartGate
 import org.chestnutloom.sidecar.load.LoadReporter
@@ -26,6 +27,7 @@
     private val gate: StartGate,
     private val runner: CallRunner,
     private val crashes: CrashWatch,
+    private val cache: ProgramCache,
     private val reporter: LoadReporter,
     private val spans: CallSpans,
     private val metrics: SidecarMetrics,
@@ -34,6 +36,8 @@
 ) : CallStarter {
     private val logger = KotlinLogging.logger {}
 
+    override fun isHolding(): Boolean = gate.isHolding()
+
     override fun mustRunAlone(record: CallRecord): Boolean =
         record.request.runAlone || crashes.verdictOf(record.request.bodyHash) == CrashVerdict.SUSPECT
 
@@ -96,6 +100,7 @@
     ) {
         if (reply is CallEnded) {
             metrics.recordService(reply.serviceMs)
+            record.request.program?.let { cache.hold(it, reply.usage.totalTokens) }
             desk.end(record, mayRepeat = false)
             return
         }
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallService.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallService.kt
@@ -3,6 +3,8 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.flowOf
+import kotlinx.coroutines.flow.onCompletion
+import kotlinx.coroutines.flow.onStart
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.id.CallId
 import org.chestnutloom.id.KeyId
@@ -11,6 +13,7 @@
 import org.chestnutloom.platform.log.event
 import org.chestnutloom.sidecar.SidecarMetrics
 import org.chestnutloom.sidecar.SidecarSettings
+import org.chestnutloom.sidecar.cache.ProgramCache
 import org.chestnutloom.sidecar.gate.OwnerEpochs
 import org.chestnutloom.sidecar.gate.PeerProofs
 import org.chestnutloom.sidecar.gate.WithdrawnKeys
@@ -23,6 +26,7 @@
 import org.chestnutloom.wire.message.LinkReply
 import org.chestnutloom.wire.message.QueryCall
 import org.chestnutloom.wire.message.RunCall
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Takes in calls, and answers questions about them. */
@@ -34,16 +38,22 @@
     private val proofs: PeerProofs,
     private val epochs: OwnerEpochs,
     private val keys: WithdrawnKeys,
+    private val cache: ProgramCache,
     private val metrics: SidecarMetrics,
     private val clock: Clock,
 ) {
     private val logger = KotlinLogging.logger {}
+    private val streams = AtomicInteger()
 
     /** Whether new calls are refused because a planned stop has begun. */
     @Volatile
     var isStopping: Boolean = false
         private set
 
+    /** Number of streams of replies that are not at their end. */
+    val openStreams: Int
+        get() = streams.get()
+
     /** Runs a call, or goes on with the run that there is, and returns its replies. */
     suspend fun run(
         sender: PeerIdentity,
@@ -63,7 +73,8 @@
     ): Flow<LinkReply> {
         val record = desk.find(request.id) ?: return flowOf(query(QueryCall(request.id, fence = false)))
         record.sender = sender
-        return record.replies(request.fromChunk)
+        record.request.program?.let { cache.mention(it, sender) }
+        return counted(record.replies(request.fromChunk))
     }
 
     /** Reports what became of a call. */
@@ -96,21 +107,21 @@
         desk.running().filter { keys.blocks(it.request.key) }.forEach { stop(it, Refusals.keyWithdrawnInRun) }
     }
 
-    /** Stops the running calls of [program], which is gone. */
-    fun endProgram(program: ProgramId) {
+    /** Stops the calls of [program], which is gone, and frees its memory. */
+    suspend fun endProgram(program: ProgramId) {
         scheduler
             .removeAll { it.request.program == program }
             .forEach { launcher.refuse(it, Refusals.cancelledInQueue) }
         desk.running().filter { it.request.program == program }.forEach { stop(it, Refusals.cancelled) }
+        cache.end(program)
     }
 
-    /** Refuses the queued calls that have waited too long, and drops what was kept for long enough. */
-    fun expire() {
+    /** Refuses the queued calls that have waited too long. */
+    fun expireQueue() {
         val now = clock.elapsed()
         scheduler
             .removeAll { it.arrivedAt + it.request.queueTimeoutMs.milliseconds <= now }
             .forEach { launcher.refuse(it, Refusals.queueTimeout) }
-        desk.expire(settings.answerRetention, settings.idRetention)
     }
 
     /** Takes no new calls from now on, and refuses those that wait. */
@@ -124,10 +135,16 @@
         fromChunk: Int,
     ): Flow<LinkReply> {
         val record = admission.record
+        record.request.program?.let { cache.mention(it, record.sender) }
         if (admission.isNew) scheduler.submit(record)?.let { launcher.refuse(record, it) }
-        return record.replies(fromChunk)
+        return counted(record.replies(fromChunk))
     }
 
+    private fun counted(replies: Flow<LinkReply>): Flow<LinkReply> =
+        replies
+            .onStart { streams.incrementAndGet() }
+            .onCompletion { streams.decrementAndGet() }
+
     private fun withdrawQueued(
         record: CallRecord,
         refusal: Refusal,
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/gate/PeerProofs.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/gate/PeerProofs.kt
@@ -15,6 +15,7 @@
 /** Keeps how old each gateway's proof of currency is, as its heartbeats say. */
 internal class PeerProofs(
     private val clock: Clock,
+    private val pauses: PauseGuard,
 ) {
     private val beats = MutableStateFlow<PersistentMap<PeerIdentity, ReceivedBeat>>(persistentMapOf())
 
@@ -23,6 +24,7 @@
         peer: PeerIdentity,
         beat: Heartbeat,
     ) {
+        if (pauses.isHolding()) return
         val received = ReceivedBeat(clock.elapsed(), beat.proofAgeMs?.milliseconds)
         beats.update { it.put(peer, received) }
     }
@@ -46,6 +48,12 @@
         return ageThen + (clock.elapsed() - beat.receivedAt)
     }
 
+    /** Returns the peers that were heard within [limit]. */
+    fun livePeers(limit: Duration): Set<PeerIdentity> {
+        val since = clock.elapsed() - limit
+        return beats.value.filterValues { it.receivedAt >= since }.keys
+    }
+
     /** Drops peers that were silent for longer than [limit]. */
     fun expire(limit: Duration) {
         val before = clock.elapsed() - limit
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/gate/StartGate.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/gate/StartGate.kt
@@ -12,7 +12,11 @@
     private val keys: WithdrawnKeys,
     private val proofs: PeerProofs,
     private val epochs: OwnerEpochs,
+    private val pauses: PauseGuard,
 ) {
+    /** Tells whether no call may start for now. */
+    fun isHolding(): Boolean = pauses.isHolding()
+
     /** Returns why [record] must not start, or null when it may. */
     fun refusalOf(record: CallRecord): Refusal? {
         val request = record.request
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/schedule/CallScheduler.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/schedule/CallScheduler.kt
@@ -48,7 +48,7 @@
 
     /** Starts queued calls as long as the target has room. */
     fun dispatch() {
-        while (true) {
+        while (!starter.isHolding()) {
             val record = lock.withLock { next() } ?: return
             val id = record.request.id
             val isStarted = starter.start(record) { usedTokens, service -> finish(id, usedTokens, service) }
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/schedule/CallStarter.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/schedule/CallStarter.kt
@@ -4,6 +4,9 @@
 
 /** Starts calls that leave the queue. */
 internal interface CallStarter {
+    /** Tells whether no call may start for now. */
+    fun isHolding(): Boolean
+
     /** Tells whether nothing else may run at the target beside [record]. */
     fun mustRunAlone(record: CallRecord): Boolean
 
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/target/HttpTarget.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/target/HttpTarget.kt
@@ -15,14 +15,17 @@
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
+import io.ktor.http.Url
 import io.ktor.http.content.TextContent
 import io.ktor.http.encodeURLPathPart
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.FlowCollector
 import kotlinx.coroutines.flow.catch
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.flow.takeWhile
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.call.CallKind
 import org.chestnutloom.id.CallId
@@ -30,6 +33,8 @@
 import org.chestnutloom.sidecar.SidecarSettings
 import org.chestnutloom.wire.message.CallRequest
 import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.Socket
 import kotlin.time.Duration.Companion.seconds
 
 /** Talks HTTP to the target; each request has a connection of its own. */
@@ -69,7 +74,7 @@
     override suspend fun probe(): TargetHealth =
         withTimeoutOrNull(PROBE_TIMEOUT) {
             try {
-                client.get("${settings.targetUrl}$HEALTH_PATH") { showCredential(this) }
+                if (settings.kind == CallKind.MODEL) askHealth() else connect()
                 TargetHealth.UP
             } catch (e: IOException) {
                 if (isConnectFailure(e)) TargetHealth.REFUSED else TargetHealth.SILENT
@@ -78,6 +83,17 @@
 
     override fun close() = client.close()
 
+    private suspend fun askHealth() {
+        client.get("${settings.targetUrl}$HEALTH_PATH") { showCredential(this) }
+    }
+
+    /** Plain services know no health request, so a connection has to be enough. */
+    private suspend fun connect() {
+        val url = Url(settings.targetUrl)
+        val address = InetSocketAddress(url.host, url.port)
+        withContext(Dispatchers.IO) { Socket().use { it.connect(address, CONNECT_TIMEOUT_MS.toInt()) } }
+    }
+
     private suspend fun FlowCollector<TargetEvent>.plain(
         id: CallId,
         builder: HttpRequestBuilder,
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/target/TargetHttpClient.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/target/TargetHttpClient.kt
@@ -7,7 +7,7 @@
 
 internal const val REQUEST_ID: String = "X-Request-Id"
 
-private const val CONNECT_TIMEOUT_MS = 2_000L
+internal const val CONNECT_TIMEOUT_MS: Long = 2_000L
 private const val MAX_CONNECTIONS = 512
 
 /** Returns a client that sends each request once, on a new connection, and follows no redirects. */
--- a/chestnutloom-sidecar/src/test/kotlin/org/chestnutloom/sidecar/SidecarFixture.kt
+++ b/chestnutloom-sidecar/src/test/kotlin/org/chestnutloom/sidecar/SidecarFixture.kt
@@ -100,12 +100,14 @@
 ) {
     val clock = manualClock()
     val target = FakeTarget()
+    val engine = FakeEngine()
     private val scope: CoroutineScope = test.backgroundScope
     val core =
         SidecarCore(
             sidecarSettings(maxRunning = maxRunning, mechanisms = Mechanisms.without(disabled.toSet())),
             Incarnation("s1"),
             target,
+            engine,
             clock,
             SimpleMeterRegistry(),
             OpenTelemetry.noop().getTracer("test"),
--- a/chestnutloom-sidecar/src/test/kotlin/org/chestnutloom/sidecar/SidecarHandlerSpec.kt
+++ b/chestnutloom-sidecar/src/test/kotlin/org/chestnutloom/sidecar/SidecarHandlerSpec.kt
@@ -234,7 +234,7 @@
                     sidecar.run(callRequest())
                     val queued = sidecar.run(callRequest(secondCall, queueTimeoutMs = 1_000))
                     sidecar.clock.advance(1.seconds)
-                    sidecar.core.calls.expire()
+                    sidecar.core.calls.expireQueue()
                     sidecar.settle()
                     queued.refusal().code shouldBe RefusalCode.OVERLOADED
                     queued.refusal().execution shouldBe Execution.NOT_RUN
