Tell gateways of a crash before its call's end, and take up silent engine streams

Ruled out: counting an engine's "unknown request" as a crash when it had not begun to answer, since the request may never have arrived. Change: an announced report to all watchers before the end of a call that was in flight at a crash (bounded wait), resumption after 5 s of silence in a stream and after 15 s before its first event, TargetTerms applies the document by rising version, PrefillMeter measures the prompt speed for load reports. Silence and TargetTerms have no test yet.

--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarCore.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarCore.kt
@@ -6,9 +6,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.cache.CacheRetention
+import org.chestnutloom.config.documentDecoder
 import org.chestnutloom.id.Incarnation
 import org.chestnutloom.once.duplicateTable
 import org.chestnutloom.platform.engine.EngineClient
+import org.chestnutloom.queue.PrefillMeter
 import org.chestnutloom.queue.QueuePolicy
 import org.chestnutloom.queue.fairQueue
 import org.chestnutloom.queue.fifoQueue
@@ -21,6 +23,7 @@
 import org.chestnutloom.sidecar.call.CallRecord
 import org.chestnutloom.sidecar.call.CallRunner
 import org.chestnutloom.sidecar.call.CallService
+import org.chestnutloom.sidecar.config.TargetTerms
 import org.chestnutloom.sidecar.crash.CrashWatch
 import org.chestnutloom.sidecar.gate.OwnerEpochs
 import org.chestnutloom.sidecar.gate.PauseGuard
@@ -55,6 +58,8 @@
     private val reporter: LoadReporter = LoadReporter(settings.loadReportInterval, ::report)
     private val monitor = TargetMonitor(target, crashes, metrics, reporter::onChange)
     private val pauses = PauseGuard(clock, settings.mechanisms, settings.heartbeatInterval * HELD_BEATS)
+    private val terms = TargetTerms(settings.target, documentDecoder(), settings.mechanisms)
+    private val prefill = PrefillMeter()
     private val proofs = PeerProofs(clock, pauses)
     private val cache = cacheOf(engine, clock)
     private val keys = WithdrawnKeys(settings.mechanisms)
@@ -64,11 +69,15 @@
     private val gate = StartGate(settings, keys, proofs, epochs, pauses)
     private val spans = CallSpans(tracer, settings.target.value)
     private val launcher =
-        CallLauncher(desk, gate, runner, crashes, cache, reporter, spans, metrics, clock, scope)
-    private val scheduler = CallScheduler(clock, queueFor(settings.queuePolicy), settings.maxRunning, launcher)
+        CallLauncher(desk, gate, runner, crashes, cache, prefill, reporter, spans, metrics, clock, scope)
+    private val scheduler = CallScheduler(clock, queueFor(settings.queuePolicy), { maxRunning }, launcher)
 
     val calls = CallService(settings, desk, scheduler, launcher, proofs, epochs, keys, cache, metrics, clock)
-    val handler = SidecarHandler(calls, proofs, reporter)
+    val handler = SidecarHandler(calls, proofs, reporter, terms)
+
+    /** The document's number goes before the one that the process was started with. */
+    private val maxRunning: Int
+        get() = terms.current?.maxRunning ?: settings.maxRunning
 
     init {
         metrics.watch(scheduler::load, memory)
@@ -137,9 +146,9 @@
             queuedCalls = load.queuedCalls,
             queuedTokens = load.queuedTokens,
             runningCalls = load.runningCalls,
-            maxRunningCalls = settings.maxRunning,
+            maxRunningCalls = maxRunning,
             expectedWaitMs = load.expectedWait.inWholeMilliseconds,
-            prefillTokensPerSecond = 0.0,
+            prefillTokensPerSecond = prefill.tokensPerSecond,
             models = settings.models,
             services = settings.services,
             cachedPrograms = cache.tokens,
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarHandler.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarHandler.kt
@@ -8,6 +8,7 @@
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.sidecar.call.CallService
+import org.chestnutloom.sidecar.config.TargetTerms
 import org.chestnutloom.sidecar.gate.PeerProofs
 import org.chestnutloom.sidecar.load.LoadReporter
 import org.chestnutloom.wire.link.Heartbeat
@@ -31,6 +32,7 @@
     private val calls: CallService,
     private val proofs: PeerProofs,
     private val reporter: LoadReporter,
+    private val terms: TargetTerms,
 ) : LinkHandler {
     override fun handle(
         peer: PeerIdentity,
@@ -43,7 +45,7 @@
             is CancelCall -> reply { calls.cancel(request.id) }
             is ForgetCalls -> done { calls.forget(request.ids) }
             is EndProgram -> done { calls.endProgram(request.program) }
-            is ApplyTargetSettings -> done { calls.withdraw(request.withdrawnKeys) }
+            is ApplyTargetSettings -> done { apply(request) }
             WatchLoad -> reporter.watch(peer)
             else -> flowOf(CallRefused(unsupported))
         }
@@ -53,6 +55,11 @@
         beat: Heartbeat,
     ) = proofs.record(peer, beat)
 
+    private fun apply(request: ApplyTargetSettings) {
+        calls.withdraw(request.withdrawnKeys)
+        if (terms.apply(request.configVersion, request.document)) reporter.onChange()
+    }
+
     private fun reply(block: suspend () -> LinkReply): Flow<LinkReply> = flow { emit(block()) }
 
     private fun done(block: suspend () -> Unit): Flow<LinkReply> =
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallLauncher.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallLauncher.kt
@@ -8,6 +8,7 @@
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.platform.log.event
 import org.chestnutloom.quarantine.CrashVerdict
+import org.chestnutloom.queue.PrefillMeter
 import org.chestnutloom.sidecar.SidecarMetrics
 import org.chestnutloom.sidecar.cache.ProgramCache
 import org.chestnutloom.sidecar.crash.CrashWatch
@@ -20,6 +21,7 @@
 import org.chestnutloom.wire.message.CallEnded
 import org.chestnutloom.wire.message.CallRefused
 import org.chestnutloom.wire.message.LinkReply
+import kotlin.time.Duration
 
 /** Takes calls from the queue to the target and back to those who wait for their answers. */
 internal class CallLauncher(
@@ -28,6 +30,7 @@
     private val runner: CallRunner,
     private val crashes: CrashWatch,
     private val cache: ProgramCache,
+    private val prefill: PrefillMeter,
     private val reporter: LoadReporter,
     private val spans: CallSpans,
     private val metrics: SidecarMetrics,
@@ -85,10 +88,12 @@
         crashes.onSent(record.request.bodyHash)
         reporter.announce(record.sender)
         val reply = runner.run(record, spans.traceParentOf(span))
+        if (record.hasCrashed) reporter.announceToAll()
         crashes.onEnded(record.request.bodyHash, survivedAlone = isAlone && reply is CallEnded)
         record.end(reply)
         settle(record, reply)
         spans.end(span, reply)
+        measurePrefill(record, reply, startedAt)
         val service = clock.elapsed() - startedAt
         onEnd.onEnd(usedTokens(record, reply), service.takeIf { reply is CallEnded })
         reporter.onChange()
@@ -114,6 +119,16 @@
         }
     }
 
+    private fun measurePrefill(
+        record: CallRecord,
+        reply: LinkReply,
+        startedAt: Duration,
+    ) {
+        val usage = (reply as? CallEnded)?.usage ?: return
+        val firstChunkAt = record.firstChunkAt ?: return
+        prefill.record(usage.promptTokens - usage.cachedTokens, firstChunkAt - startedAt)
+    }
+
     private fun usedTokens(
         record: CallRecord,
         reply: LinkReply,
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallRecord.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallRecord.kt
@@ -39,6 +39,15 @@
 
     private val crashed = AtomicBoolean()
 
+    /** Whether the call was in flight at a crash. */
+    val hasCrashed: Boolean
+        get() = crashed.get()
+
+    /** When the first chunk came, on the monotonic clock, or null before that. */
+    @Volatile
+    var firstChunkAt: Duration? = null
+        private set
+
     val current: CallProgress
         get() = progress.value
 
@@ -49,7 +58,11 @@
         progress.update { it.started(queuedMs) }
     }
 
-    fun append(chunk: String) {
+    fun append(
+        chunk: String,
+        now: Duration,
+    ) {
+        if (firstChunkAt == null) firstChunkAt = now
         progress.update { it.with(chunk) }
     }
 
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallRunner.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallRunner.kt
@@ -1,9 +1,13 @@
 package org.chestnutloom.sidecar.call
 
 import kotlinx.coroutines.async
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.buffer
+import kotlinx.coroutines.flow.produceIn
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.call.CallKind
@@ -22,9 +26,11 @@
 import org.chestnutloom.time.Clock
 import org.chestnutloom.wire.message.CallEnded
 import org.chestnutloom.wire.message.CallRefused
+import org.chestnutloom.wire.message.CallRequest
 import org.chestnutloom.wire.message.LinkReply
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Runs calls on the target and turns what the target does into the last reply of each call. */
 internal class CallRunner(
@@ -71,7 +77,7 @@
         var failures = 0
         while (canResume(record, event) && failures < MAX_RESUMES) {
             val before = record.current.chunks.size
-            failures++
+            if (event != silent) failures++
             metrics.recordResume()
             delay(backoff.delay(failures, Random.Default))
             event = afterSending(lastEvent(record) { target.resume(record.request.id, before) })
@@ -85,12 +91,26 @@
     private suspend fun lastEvent(
         record: CallRecord,
         answer: () -> Flow<TargetEvent>,
-    ): TargetEvent {
-        var last: TargetEvent = TargetEvent.Failed(TargetFailure.Lost("The target sent nothing."))
-        answer().collect { event ->
-            if (event is TargetEvent.Chunk) record.append(event.data) else last = event
+    ): TargetEvent =
+        coroutineScope {
+            val events = answer().buffer(Channel.RENDEZVOUS).produceIn(this)
+            var event = nextEvent(record, events)
+            while (event is TargetEvent.Chunk) {
+                record.append(event.data, clock.elapsed())
+                event = nextEvent(record, events)
+            }
+            events.cancel()
+            event
         }
-        return last
+
+    /** Waits for the next event; a stream that stays silent is taken up anew, since its connection may be dead. */
+    private suspend fun nextEvent(
+        record: CallRecord,
+        events: ReceiveChannel<TargetEvent>,
+    ): TargetEvent {
+        if (!record.request.isEngineStream) return events.receiveCatching().getOrNull() ?: nothing
+        val limit = if (record.current.chunks.isEmpty()) FIRST_CHUNK_SILENCE else CHUNK_SILENCE
+        return withTimeoutOrNull(limit) { events.receiveCatching().getOrNull() ?: nothing } ?: silent
     }
 
     /** Tells whether the engine may still hold the rest of a stream that was cut off. */
@@ -99,9 +119,10 @@
         event: TargetEvent,
     ): Boolean {
         val failure = (event as? TargetEvent.Failed)?.failure ?: return false
+        if (failure == TargetFailure.Silent) return true
         if (failure !is TargetFailure.Lost && failure != TargetFailure.UnknownRequest) return false
-        val isGone = monitor.onLost(record, failure)
-        return !isGone && record.request.kind == CallKind.MODEL && record.request.stream
+        val isGone = monitor.onLost(record, failure) || failure == TargetFailure.UnknownRequest
+        return !isGone && record.request.isEngineStream
     }
 
     /** The call was sent before it is resumed, so a resumption that was not sent counts as lost. */
@@ -146,6 +167,7 @@
         when (failure) {
             is TargetFailure.NotSent -> Refusals.notRun(RefusalCode.NO_TARGET, "The target takes no connections.")
             is TargetFailure.Unsendable -> Refusals.badRequest
+            TargetFailure.Silent -> Refusals.targetLost
             is TargetFailure.Lost -> Refusals.targetLost
             TargetFailure.UnknownRequest -> Refusals.targetLost
             TargetFailure.AnswerTooLarge -> Refusals.answerTooLarge
@@ -163,7 +185,14 @@
         return CallRefused(if (hasAnswered) refusal.copy(execution = Execution.RAN) else refusal)
     }
 
+    private val CallRequest.isEngineStream: Boolean
+        get() = kind == CallKind.MODEL && stream
+
     private companion object {
+        val nothing = lost("The target sent nothing.")
+        val silent = TargetEvent.Failed(TargetFailure.Silent)
+        val FIRST_CHUNK_SILENCE = 15.seconds
+        val CHUNK_SILENCE = 5.seconds
         const val MAX_RESUMES = 6
         const val OK = 200
         const val SERVER_ERROR = 500
--- /dev/null
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/config/TargetTerms.kt
@@ -0,0 +1,44 @@
+package org.chestnutloom.sidecar.config
+
+import arrow.core.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.chestnutloom.config.DocumentDecoder
+import org.chestnutloom.config.TargetSettings
+import org.chestnutloom.id.TargetId
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.platform.log.event
+import org.chestnutloom.platform.log.warnEvent
+
+/** Keeps what the environment document in force says of the target. */
+internal class TargetTerms(
+    private val target: TargetId,
+    private val decoder: DocumentDecoder,
+    private val mechanisms: Mechanisms,
+) {
+    private val logger = KotlinLogging.logger {}
+    private var version = 0L
+
+    /** What the newest document says of the target, or null when none has named it. */
+    @Volatile
+    var current: TargetSettings? = null
+        private set
+
+    /** Puts [document] in force unless a newer one is; returns whether it did. */
+    @Synchronized
+    fun apply(
+        newVersion: Long,
+        document: String,
+    ): Boolean {
+        if (mechanisms.has(Mechanism.CONFIG_MONOTONIC) && newVersion <= version) return false
+        val settings =
+            decoder.decode(document).getOrElse {
+                logger.warnEvent("settings_unreadable", "version" to newVersion, "faults" to it.size)
+                return false
+            }
+        version = newVersion
+        current = settings.targets[target]
+        logger.event("settings_in_force", "version" to newVersion, "names_target" to (current != null))
+        return true
+    }
+}
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/load/LoadReporter.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/load/LoadReporter.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
@@ -44,6 +45,12 @@
         withTimeoutOrNull(ANNOUNCE_TIMEOUT) { sent.await() }
     }
 
+    /** Sends a report at once to every watcher, and waits until they have left, within the same bound. */
+    suspend fun announceToAll() {
+        val sent = watchers.map { watcher -> CompletableDeferred<Unit>().also { watcher.urgent.send(it) } }
+        withTimeoutOrNull(ANNOUNCE_TIMEOUT) { sent.awaitAll() }
+    }
+
     /** Returns the reports for [peer], from now until the collection is cancelled. */
     fun watch(peer: PeerIdentity): Flow<LoadReport> =
         flow {
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/schedule/CallScheduler.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/schedule/CallScheduler.kt
@@ -14,14 +14,14 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Holds the calls that wait for the target, and lets at most [maxRunning] of them run.
+ * Holds the calls that wait for the target, and lets at most so many of them run as [maxRunning] says.
  *
  * @property starter starts calls that have left the queue, or refuses them
  */
 internal class CallScheduler(
     private val clock: Clock,
     private val queue: CallQueue,
-    private val maxRunning: Int,
+    private val maxRunning: () -> Int,
     private val starter: CallStarter,
 ) {
     private val lock = ReentrantLock()
@@ -36,7 +36,7 @@
     fun submit(record: CallRecord): Refusal? {
         val call = record.toQueuedCall()
         lock.withLock {
-            val wait = estimator.expectedWait(queue.tokensAhead(call), running.size, maxRunning)
+            val wait = estimator.expectedWait(queue.tokensAhead(call), running.size, maxRunning())
             val limit = record.request.queueTimeoutMs.milliseconds
             if (wait > limit) return Refusals.overloaded((wait - limit).inWholeMilliseconds)
             queue.add(call)
@@ -70,7 +70,7 @@
 
     fun load(): QueueLoad =
         lock.withLock {
-            val wait = estimator.expectedWait(queue.queuedTokens, running.size, maxRunning)
+            val wait = estimator.expectedWait(queue.queuedTokens, running.size, maxRunning())
             QueueLoad(waiting.size, queue.queuedTokens, running.size, wait)
         }
 
@@ -86,7 +86,7 @@
 
     private fun next(): CallRecord? {
         if (lone != null) return startLone()
-        if (running.size >= maxRunning) return null
+        if (running.size >= maxRunning()) return null
         val call = queue.poll(clock.elapsed()) ?: return null
         running[call.id] = call
         val record = waiting.getValue(call.id)
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/target/TargetFailure.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/target/TargetFailure.kt
@@ -17,6 +17,9 @@
         val detail: String,
     ) : TargetFailure
 
+    /** Nothing came for so long that the connection may have died unnoticed. */
+    data object Silent : TargetFailure
+
     /** The target does not know the request that was to be resumed. */
     data object UnknownRequest : TargetFailure
 
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/target/TargetMonitor.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/target/TargetMonitor.kt
@@ -34,13 +34,15 @@
     /**
      * Finds out why [record] lost its connection, and returns whether the target's process is gone.
      *
-     * The process is gone when nothing listens at its address, or when it knows nothing of a request that it had.
+     * The process is gone when nothing listens at its address, or when it knows nothing of a request that it had
+     * begun to answer.
      */
     suspend fun onLost(
         record: CallRecord,
         failure: TargetFailure,
     ): Boolean {
-        val isGone = probe() == TargetHealth.REFUSED || failure == TargetFailure.UnknownRequest
+        val hasForgotten = failure == TargetFailure.UnknownRequest && record.current.chunks.isNotEmpty()
+        val isGone = probe() == TargetHealth.REFUSED || hasForgotten
         if (isGone && record.markCrashed()) countCrash(record)
         return isGone
     }
