Give the daemon's addresses as host and port flags

Cause: the rig of the integration tests gives each address as two flags, the daemon read them as one. Ruled out: reading both forms, which would be two names for one setting.

--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/CommonFlags.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/CommonFlags.kt
@@ -11,8 +11,10 @@
     listOf(
         Flag("environment", "environment that the process serves, such as production"),
         Flag("failure-domain", "failure domain that the VM stands in"),
-        Flag("link", "IP number and port for links from other processes; port 0 picks a free one"),
-        Flag("admin", "IP number and port for health checks and metrics; port 0 picks a free one"),
+        Flag("link-host", "IP number for links from other processes"),
+        Flag("link-port", "port for links from other processes; 0 picks a free one"),
+        Flag("admin-host", "IP number for health checks and metrics; 127.0.0.1 when left out"),
+        Flag("admin-port", "port for health checks and metrics; 0 picks a free one"),
         Flag("heartbeat-interval-ms", "how often each link carries a heartbeat"),
         Flag("link-silence-ms", "how long a link may be silent before it counts as lost"),
         Flag("stop-timeout-ms", "how long a planned stop waits for requests under way"),
@@ -23,26 +25,31 @@
 
 internal fun FlagReader.common(): CommonSettings =
     CommonSettings(
-        admin = optionalAddress("admin") ?: PeerAddress("127.0.0.1", 0),
+        admin = PeerAddress(host("admin", optional("admin-host") ?: LOOPBACK), port("admin")),
         otlpEndpoint = optional("otlp-endpoint")?.let { url("otlp-endpoint") },
         traceRatio = decimal("trace-ratio", 0.0..1.0, default = 1.0),
     )
 
-/** Returns the address of the flag, which has to be given. */
+/** Returns the address in the flags `{name}-host` and `{name}-port`, which have to be given. */
 internal fun FlagReader.address(name: String): PeerAddress {
-    val text = required(name)
-    if (text.isEmpty()) return PeerAddress("", 0)
-    return optionalAddress(name) ?: PeerAddress("", 0)
+    required("$name-port")
+    return PeerAddress(host(name, required("$name-host")), port(name))
 }
 
-/** Returns the address of the flag, or null when it was not given. */
+/** Returns the address in the flags `{name}-host` and `{name}-port`, or null when neither was given. */
 internal fun FlagReader.optionalAddress(name: String): PeerAddress? {
-    val text = optional(name) ?: return null
-    val port = text.substringAfterLast(':', "").toIntOrNull()
-    val host = text.substringBeforeLast(':').removeSurrounding("[", "]")
-    if (port != null && port in 0..LAST_PORT && host.isNotEmpty()) return PeerAddress(host, port)
-    fault(name, "must be an IP number and a port, such as 127.0.0.1:7000")
-    return null
+    if (optional("$name-host") == null && optional("$name-port") == null) return null
+    return address(name)
+}
+
+private fun FlagReader.port(name: String): Int = whole("$name-port", 0..LAST_PORT, default = 0)
+
+private fun FlagReader.host(
+    name: String,
+    text: String,
+): String {
+    if (text.isNotEmpty() && !IP_NUMBER.matches(text)) fault("$name-host", "must be an IP number")
+    return text
 }
 
 /** Returns the name of an environment, failure domain or process, which has to be given. */
@@ -60,4 +67,6 @@
 }
 
 private const val LAST_PORT = 65_535
+private const val LOOPBACK = "127.0.0.1"
+private val IP_NUMBER = Regex("\\d{1,3}(\\.\\d{1,3}){3}|[0-9a-fA-F:.]*:[0-9a-fA-F:.]*")
 private val NAME = Regex("[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/GatewayFlags.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/GatewayFlags.kt
@@ -13,8 +13,10 @@
     commonFlags +
         listOf(
             Flag("id", "gateway id, the same as on the platform's VM list"),
-            Flag("http", "IP number and port for callers; port 0 picks a free one"),
-            Flag("advertised", "IP number and port that other processes are told to use for links"),
+            Flag("http-host", "IP number for callers"),
+            Flag("http-port", "port for callers; 0 picks a free one"),
+            Flag("advertised-host", "IP number that other processes are told to use for links"),
+            Flag("advertised-port", "port that other processes are told to use for links"),
             Flag("table-url", "address of the table service"),
             Flag("object-url", "address of the object store"),
             Flag("vm-list-url", "address of the VM list"),
--- a/chestnutloom-daemon/src/test/kotlin/org/chestnutloom/daemon/LaunchParserSpec.kt
+++ b/chestnutloom-daemon/src/test/kotlin/org/chestnutloom/daemon/LaunchParserSpec.kt
@@ -32,7 +32,7 @@
                 { settings -> NodeFactory { _, _, _, _ -> IdleNode }.also { sidecar = settings } },
             )
         val urls = "--table-url http://127.0.0.1:1 --object-url=http://127.0.0.1:2 --vm-list-url http://127.0.0.1:3"
-        val places = "--environment trial --failure-domain osborne-park --link 127.0.0.1:0"
+        val places = "--environment trial --failure-domain osborne-park --link-host 127.0.0.1 --link-port 0"
 
         fun parse(
             line: String,
@@ -44,10 +44,15 @@
         describe("the settings of a gateway") {
             it("come from flags, then from environment variables") {
                 val line = "gateway --id g1 $places $urls --lease-ms 3000 --unsafe-disable rate_escrow,DRAIN"
-                val variables = mapOf("CHESTNUTLOOM_HTTP" to "0.0.0.0:8080", "CHESTNUTLOOM_LEASE_MS" to "9000")
+                val variables =
+                    mapOf(
+                        "CHESTNUTLOOM_HTTP_HOST" to "::",
+                        "CHESTNUTLOOM_HTTP_PORT" to "8080",
+                        "CHESTNUTLOOM_LEASE_MS" to "9000",
+                    )
                 parse(line, variables).isRight() shouldBe true
                 val settings = gateway.shouldNotBeNull()
-                settings.http shouldBe PeerAddress("0.0.0.0", 8080)
+                settings.http shouldBe PeerAddress("::", 8080)
                 settings.lease shouldBe 3000.milliseconds
                 settings.objectUrl shouldBe "http://127.0.0.1:2"
                 settings.mechanisms.has(Mechanism.DRAIN) shouldBe false
@@ -56,20 +61,24 @@
 
             it("have all faults listed at once") {
                 subjects(
-                    "gateway --id a/b --http nowhere --lease-ms 0 --unsafe-disable LUCK --admin 1:99999",
+                    "gateway --id a/b --http-host nowhere --lease-ms 0 --unsafe-disable LUCK --admin-port 99999",
                 ) shouldContainAll
                     listOf(
                         "--id",
                         "--environment",
-                        "--http",
-                        "--link",
+                        "--http-host",
+                        "--http-port",
+                        "--link-host",
+                        "--link-port",
                         "--table-url",
                         "--lease-ms",
                         "--unsafe-disable",
-                        "--admin",
+                        "--admin-port",
                     )
                 subjects("gateway --colour red --id") shouldContainExactlyInAnyOrder listOf("--colour", "red", "--id")
-                subjects("gateway --id g1 --http 127.0.0.1:0 $places $urls --renew-interval-ms 4000") shouldBe
+                subjects(
+                    "gateway --id g1 --http-host 127.0.0.1 --http-port 0 $places $urls --renew-interval-ms 4000",
+                ) shouldBe
                     listOf("--renew-interval-ms")
             }
         }
