Add the operators' command-line tool

Cause: environments could not be changed or looked at. Ruled out: overwriting on a race; a change names the version it builds on, and a conflict lists who changed which settings. A change of keys meanwhile is no conflict and is merged by another attempt. Change: validate, diff, apply, promote, history, account list, key create, withdraw and list, status, program show and drain, by compare-and-set on the head row, lost replies settled by reading back, waiting for the gateways' rows.

--- /dev/null
+++ b/chestnutloom-cli/src/main/kotlin/org/chestnutloom/cli/InvocationParser.kt
@@ -0,0 +1,86 @@
+package org.chestnutloom.cli
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.persistentListOf
+import org.chestnutloom.cli.command.Changes
+import org.chestnutloom.cli.store.EnvironmentStore
+import org.chestnutloom.platform.flag.FlagParser
+import org.chestnutloom.platform.flag.FlagReader
+import org.chestnutloom.platform.flag.FlagValues
+import org.chestnutloom.platform.flag.UsageFault
+import org.chestnutloom.platform.store.tableClient
+import org.chestnutloom.platform.store.vmListClient
+import org.chestnutloom.store.TableStore
+import org.chestnutloom.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Reads the command line of `chestnutloom`. */
+internal class InvocationParser(
+    private val clock: Clock,
+    private val tables: (String, Duration) -> TableStore = ::tableClient,
+) {
+    val commands: List<Command> = allCommands(Changes { FlagReader(it.values).mechanisms() })
+
+    fun parse(
+        args: List<String>,
+        environment: Map<String, String>,
+    ): Either<ImmutableList<UsageFault>, Invocation> {
+        val command = commands.find { args.take(wordCount(it)) == it.name.split(' ') } ?: return unknown(args)
+        val parser = FlagParser("chestnutloom ${command.name}", cliFlags + command.flags, command.arguments)
+        return parser
+            .parse(args.drop(wordCount(command)), environment)
+            .flatMap { invocation(command, it, environment) }
+    }
+
+    private fun invocation(
+        command: Command,
+        values: FlagValues,
+        environment: Map<String, String>,
+    ): Either<ImmutableList<UsageFault>, Invocation> {
+        val reader = FlagReader(values)
+        reader.mechanisms()
+        val isJson = reader.choice("output", mapOf("text" to false, "json" to true), default = false)
+        val call = call(command, reader, values, environment)
+        return if (reader.faults.isEmpty()) Invocation(command, call, isJson).right() else reader.faults.left()
+    }
+
+    private fun call(
+        command: Command,
+        reader: FlagReader,
+        values: FlagValues,
+        environment: Map<String, String>,
+    ): CommandCall {
+        val storeTimeout = reader.duration("store-timeout-ms", 2.seconds)
+        val tableUrl = if (command.needsTable()) reader.url("table-url") else reader.optional("table-url").orEmpty()
+        val table by lazy { tables(tableUrl, storeTimeout) }
+        return CommandCall(
+            values = values,
+            environment = reader.optional("environment") ?: "production",
+            author = reader.optional("author") ?: environment["USER"] ?: "unknown",
+            wait = reader.whole("wait-seconds", 0..LONGEST_WAIT_SECONDS, DEFAULT_WAIT_SECONDS).seconds,
+            lease = reader.duration("lease-ms", 4.seconds),
+            stores = { EnvironmentStore(table, it) },
+            vmList = reader.optional("vm-list-url")?.let { vmListClient(it, storeTimeout) },
+            clock = clock,
+        )
+    }
+
+    private fun Command.needsTable(): Boolean = name != "validate"
+
+    private fun unknown(args: List<String>): Either<ImmutableList<UsageFault>, Invocation> =
+        persistentListOf(
+            UsageFault(args.take(2).joinToString(" ").ifEmpty { "chestnutloom" }, "is not a command"),
+        ).left()
+
+    private fun wordCount(command: Command): Int = command.name.split(' ').size
+
+    private companion object {
+        private const val DEFAULT_WAIT_SECONDS = 15
+        private const val LONGEST_WAIT_SECONDS = 3600
+    }
+}
--- /dev/null
+++ b/chestnutloom-cli/src/main/kotlin/org/chestnutloom/cli/command/DrainCommand.kt
@@ -0,0 +1,57 @@
+package org.chestnutloom.cli.command
+
+import arrow.core.Either
+import arrow.core.raise.either
+import org.chestnutloom.cli.Command
+import org.chestnutloom.cli.CommandCall
+import org.chestnutloom.cli.CommandFailure
+import org.chestnutloom.cli.CommandResult
+import org.chestnutloom.cli.jsonOf
+import org.chestnutloom.cli.store.DrainRecord
+import org.chestnutloom.cli.store.rowJson
+import org.chestnutloom.cli.store.toCommandFailure
+import org.chestnutloom.id.TargetId
+import org.chestnutloom.platform.flag.Flag
+import org.chestnutloom.store.Condition
+import org.chestnutloom.store.RowWrite
+import org.chestnutloom.store.Transaction
+import org.chestnutloom.store.settledTransact
+
+/** Keeps new calls away from a target, or lets them back. */
+internal object DrainCommand : Command {
+    override val name: String = "drain"
+    override val description: String = "keeps new calls away from a target, or with --undo lets them back"
+    override val arguments: List<String> = listOf("target")
+    override val flags: List<Flag> = listOf(Flag("undo", "lets new calls back", isSwitch = true))
+
+    override suspend fun run(call: CommandCall): Either<CommandFailure, CommandResult> =
+        either {
+            val target = call.argument("target")
+            val isUndo = call.switch("undo")
+            if (!isUndo && TargetId(target) !in currentSettings(call).bind().targets) {
+                raise(CommandFailure.NotFound("target $target in ${call.environment}"))
+            }
+            write(call, DrainRecord.rowKey(call.environment, target), isUndo).bind()
+            val line = if (isUndo) "target $target gets new calls again" else "target $target gets no new calls"
+            CommandResult(listOf(line), jsonOf("target" to target, "drained" to !isUndo))
+        }
+
+    /** Writes or removes the row, unless it is already as wanted. */
+    private suspend fun write(
+        call: CommandCall,
+        rowKey: String,
+        isUndo: Boolean,
+    ): Either<CommandFailure, Unit> =
+        either {
+            val row = call.store.row(rowKey).bind()
+            if ((row == null) == isUndo) return@either
+            val record = DrainRecord(call.author, call.nowMs)
+            val value = if (isUndo) null else rowJson.encodeToString(DrainRecord.serializer(), record)
+            val condition = Condition(rowKey, row?.version ?: Condition.ABSENT)
+            val transaction = Transaction(listOf(condition), listOf(RowWrite(rowKey, value)))
+            call.store.table
+                .settledTransact(transaction)
+                .mapLeft { it.toCommandFailure() }
+                .bind()
+        }
+}
--- /dev/null
+++ b/chestnutloom-cli/src/main/kotlin/org/chestnutloom/cli/command/ValidateCommand.kt
@@ -0,0 +1,23 @@
+package org.chestnutloom.cli.command
+
+import arrow.core.Either
+import org.chestnutloom.cli.Command
+import org.chestnutloom.cli.CommandCall
+import org.chestnutloom.cli.CommandFailure
+import org.chestnutloom.cli.CommandResult
+import org.chestnutloom.cli.jsonOf
+import org.chestnutloom.cli.readDocument
+import org.chestnutloom.config.digest
+
+/** Checks a document without touching any environment. */
+internal object ValidateCommand : Command {
+    override val name: String = "validate"
+    override val description: String = "checks a document and lists every fault with path and line"
+    override val arguments: List<String> = listOf("file")
+
+    override suspend fun run(call: CommandCall): Either<CommandFailure, CommandResult> =
+        readDocument(call.argument("file")).map { document ->
+            val digest = digest(document)
+            CommandResult(listOf("valid, digest $digest"), jsonOf("valid" to true, "digest" to digest))
+        }
+}
--- /dev/null
+++ b/chestnutloom-cli/src/main/kotlin/org/chestnutloom/cli/store/ChangeWriter.kt
@@ -0,0 +1,166 @@
+package org.chestnutloom.cli.store
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.right
+import kotlinx.collections.immutable.toImmutableList
+import kotlinx.coroutines.delay
+import org.chestnutloom.cli.CommandFailure
+import org.chestnutloom.config.ConfigHead
+import org.chestnutloom.config.ConfigRecord
+import org.chestnutloom.config.KeyChange
+import org.chestnutloom.config.KeyRecord
+import org.chestnutloom.config.digest
+import org.chestnutloom.config.documentDiff
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.store.Condition
+import org.chestnutloom.store.RowWrite
+import org.chestnutloom.store.StoreFailure
+import org.chestnutloom.store.Transaction
+import org.chestnutloom.store.settledTransact
+import java.time.Instant
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Changes one environment by compare-and-set on its head row, and settles writes whose reply is lost. */
+internal class ChangeWriter(
+    private val store: EnvironmentStore,
+    private val mechanisms: Mechanisms,
+) {
+    private val environment = store.environment
+
+    /**
+     * Makes [record] the configuration that follows version [base], and returns the version it got.
+     *
+     * A change of keys in between does no harm; a change of the configuration is a conflict.
+     */
+    suspend fun writeDocument(
+        base: Long,
+        record: (Long) -> ConfigRecord,
+    ): Either<CommandFailure, Long> = repeated { tryDocument(base, record) }
+
+    /** Writes [key] as the next change of keys, and returns that change's version. */
+    suspend fun writeKey(
+        key: KeyRecord,
+        rowVersion: Long,
+    ): Either<CommandFailure, Long> = repeated { tryKey(key, rowVersion) }
+
+    private suspend fun tryDocument(
+        base: Long,
+        record: (Long) -> ConfigRecord,
+    ): Either<CommandFailure, Long?> =
+        either {
+            val head = store.head().bind()
+            if (head.head.configVersion != base &&
+                compares()
+            ) {
+                raise(conflictSince(base, head.head.configVersion).bind())
+            }
+            val version = head.head.configVersion + 1
+            val rowKey = ConfigRecord.rowKey(environment, version)
+            val row = RowWrite(rowKey, rowJson.encodeToString(ConfigRecord.serializer(), record(version)))
+            val newHead = head.head.copy(configVersion = version)
+            val written =
+                write(head, newHead, listOf(row), listOf(Condition(rowKey, Condition.ABSENT)), witness = rowKey)
+            if (written.bind()) version else null
+        }
+
+    private suspend fun tryKey(
+        key: KeyRecord,
+        rowVersion: Long,
+    ): Either<CommandFailure, Long?> =
+        either {
+            val head = store.head().bind()
+            val version = head.head.keyVersion + 1
+            val keyRow = KeyRecord.rowKey(environment, key.id)
+            val changeRow = KeyChange.rowKey(environment, version)
+            val change = rowJson.encodeToString(KeyChange.serializer(), KeyChange(version, key.id))
+            val writes = listOf(RowWrite(keyRow, encode(key)), RowWrite(changeRow, change))
+            val conditions = listOf(Condition(keyRow, rowVersion), Condition(changeRow, Condition.ABSENT))
+            if (keyChanged(key, rowVersion).bind()) raise(keyConflict(key))
+            val written = write(head, head.head.copy(keyVersion = version), writes, conditions, witness = changeRow)
+            if (written.bind()) version else null
+        }
+
+    /** Returns whether the change took effect; false means that another one came first. */
+    private suspend fun write(
+        head: VersionedHead,
+        newHead: ConfigHead,
+        rows: List<RowWrite>,
+        conditions: List<Condition>,
+        witness: String,
+    ): Either<CommandFailure, Boolean> {
+        val headKey = ConfigHead.rowKey(environment)
+        val headRow = RowWrite(headKey, rowJson.encodeToString(ConfigHead.serializer(), newHead))
+        val required = if (compares()) conditions + Condition(headKey, head.rowVersion) else emptyList()
+        val result = store.table.settledTransact(Transaction(required, rows + headRow), witness)
+        return result.fold({
+            if (it is StoreFailure.Conflict) false.right() else it.toCommandFailure().left()
+        }, { true.right() })
+    }
+
+    private fun compares(): Boolean = mechanisms.has(Mechanism.CONFIG_COMPARE_AND_SET)
+
+    private suspend fun keyChanged(
+        key: KeyRecord,
+        rowVersion: Long,
+    ): Either<CommandFailure, Boolean> =
+        store.row(KeyRecord.rowKey(environment, key.id)).map { (it?.version ?: Condition.ABSENT) != rowVersion }
+
+    private fun keyConflict(key: KeyRecord): CommandFailure =
+        CommandFailure.Conflict(listOf("key ${key.id} was changed").toImmutableList())
+
+    private fun encode(key: KeyRecord): String = rowJson.encodeToString(KeyRecord.serializer(), key)
+
+    /** Says who made the versions after [base] up to [newest], and which settings they changed. */
+    private suspend fun conflictSince(
+        base: Long,
+        newest: Long,
+    ): Either<CommandFailure, CommandFailure> =
+        either {
+            if (base > newest) raise(CommandFailure.NotFound("version $base in $environment"))
+            var before = if (base == 0L) "" else store.record(base).bind().document
+            val changes =
+                (base + 1..newest).map { version ->
+                    val record = store.record(version).bind()
+                    describe(record, before).also { before = record.document }
+                }
+            CommandFailure.Conflict(changes.toImmutableList())
+        }
+
+    private fun describe(
+        record: ConfigRecord,
+        before: String,
+    ): String {
+        val paths = documentDiff(before, record.document).fold({ emptyList() }, { all -> all.map { it.path } })
+        val time = Instant.ofEpochMilli(record.createdAtMs)
+        return "version ${record.version} by ${record.author} at $time changed ${paths.joinToString().ifEmpty {
+            "nothing"
+        }}"
+    }
+
+    private suspend fun repeated(attempt: suspend () -> Either<CommandFailure, Long?>): Either<CommandFailure, Long> {
+        repeat(MOST_ATTEMPTS) {
+            val result = attempt()
+            result.fold({ return it.left() }, { version -> if (version != null) return version.right() })
+            delay(Random.nextInt(LONGEST_PAUSE_MS).milliseconds)
+        }
+        return CommandFailure.Conflict(listOf("$environment changes too often").toImmutableList()).left()
+    }
+
+    companion object {
+        private const val MOST_ATTEMPTS = 50
+        private const val LONGEST_PAUSE_MS = 50
+
+        /** Returns the record of [document] as a version of an environment. */
+        fun record(
+            version: Long,
+            document: String,
+            author: String,
+            createdAtMs: Long,
+            promotedFrom: String? = null,
+        ): ConfigRecord = ConfigRecord(version, digest(document), document, author, createdAtMs, promotedFrom)
+    }
+}
