--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/launch/OsProcessLauncher.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/launch/OsProcessLauncher.kt
@@ -5,9 +5,9 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 
-/** Returns a launcher whose processes write to files in [outputDirectory] and see the current class path. */
+/** Returns a launcher whose processes write to files in [outputDirectory], by default a new one, and see [classPath]. */
 public fun processLauncher(
-    outputDirectory: Path,
+    outputDirectory: Path = Files.createTempDirectory("chestnutloom"),
     classPath: String = currentClassPath(),
 ): ProcessLauncher = OsProcessLauncher(outputDirectory, classPath)
 
--- /dev/null
+++ b/chestnutloom-fakes/src/test/kotlin/org/chestnutloom/fakes/load/StandInGateway.kt
@@ -0,0 +1,80 @@
+package org.chestnutloom.fakes.load
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.post
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.boolean
+import kotlinx.serialization.json.int
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.chestnutloom.fakes.StandIn
+import org.chestnutloom.fakes.engine.AnswerText
+import org.chestnutloom.fakes.http.HttpAnswer
+import org.chestnutloom.fakes.http.HttpStandIn
+import org.chestnutloom.fakes.http.answerAdmin
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
+
+/**
+ * Answers callers without gateways or engines behind it.
+ *
+ * @property refusedTurns how many turns it refuses first, for the rate
+ * @property isWrong whether model turns get a text that is not theirs
+ */
+internal class StandInGateway(
+    private val refusedTurns: Int = 0,
+    private val isWrong: Boolean = false,
+) {
+    private val turns = AtomicInteger()
+
+    /** The paths that were called, in order. */
+    val paths = CopyOnWriteArrayList<String>()
+
+    fun standIn(): StandIn = HttpStandIn(0, ::install)
+
+    private fun install(route: Route) {
+        route.post("/v1/programs") {
+            call.answerAdmin { HttpAnswer.json(mapOf("id" to "c-" + parse(it).getValue("id").jsonPrimitive.content)) }
+        }
+        route.post("/v1/programs/{id}/close") { call.answerAdmin { HttpAnswer.json(mapOf("state" to "closed")) } }
+        route.post("/v1/programs/{id}/turns/{n}") { call.answerAdmin { call.turn(parse(it)) } }
+    }
+
+    private fun ApplicationCall.turn(body: JsonObject): HttpAnswer {
+        paths += parameters["id"] + "/" + parameters["n"]
+        if (turns.incrementAndGet() <= refusedTurns) return HttpAnswer.json(Json.parseToJsonElement(REFUSAL))
+        val request = body["request"]?.jsonObject ?: return HttpAnswer.json(mapOf("body" to "tool"))
+        val text = if (isWrong) "wrong" else textFor(request)
+        val choice = """[{"message":{"content":"$text"}}]"""
+        if (!request.getValue("stream").jsonPrimitive.boolean) {
+            return HttpAnswer.json(Json.parseToJsonElement("""{"body":{"choices":$choice}}"""))
+        }
+        val stream = "data: {\"choices\":$choice}\n\ndata: [DONE]\n\n"
+        return HttpAnswer(HttpStatusCode.OK, ContentType.Text.EventStream, stream.toByteArray())
+    }
+
+    private fun textFor(request: JsonObject): String =
+        AnswerText.whole(
+            request.getValue("model").jsonPrimitive.content,
+            request
+                .getValue("messages")
+                .jsonArray
+                .last()
+                .jsonObject
+                .getValue("content")
+                .jsonPrimitive
+                .content,
+            request.getValue("max_tokens").jsonPrimitive.int,
+        )
+
+    private fun parse(body: ByteArray): JsonObject = Json.parseToJsonElement(body.decodeToString()).jsonObject
+
+    private companion object {
+        const val REFUSAL = """{"error":{"code":"rate_limited","execution":"not_run","retry_after_ms":20}}"""
+    }
+}
