Let repeats of a known turn cost no rate, and wait for a listed sidecar before giving up

Cause: a caller that fetched a finished turn again paid for it; a gateway that had just started took every sidecar that it had not listed yet for gone, and would have recorded an unknown outcome for good. Ruled out: asking the owner over the link before admission, a further round trip for each turn. Change: the owner's own ingress skips admission for turns it knows; recovery waits for the target to be listed; raw-socket specs of broken requests.

--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/http/CallerApi.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/http/CallerApi.kt
@@ -128,7 +128,8 @@
         transform: (ForwardedAnswer) -> ForwardedAnswer,
     ) {
         val turn = parseTurnBody(body, inForce).bind()
-        admission.admit(caller.account).bind()
+        val isRepeat = router.knowsTurn(program, caller.account, turnNumber)
+        if (!isRepeat) admission.admit(caller.account).bind()
         val request = forward(exchange, caller, ProgramOperation.RUN_TURN, program, turnNumber, body)
         respond(exchange, router.route(request), turn.stream, transform)
     }
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/ingress/ProgramRouter.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/ingress/ProgramRouter.kt
@@ -17,6 +17,7 @@
 import org.chestnutloom.gateway.trace.Tracing
 import org.chestnutloom.gateway.trace.end
 import org.chestnutloom.gateway.trace.traceParent
+import org.chestnutloom.id.ClientAccountId
 import org.chestnutloom.id.ProgramId
 import org.chestnutloom.platform.log.warnEvent
 import org.chestnutloom.time.Clock
@@ -65,6 +66,16 @@
     /** Tells whether a turn of [program] or of its family is under way here. */
     fun isRunning(program: ProgramId): Boolean = host.isRunning(program)
 
+    /** Tells whether this gateway owns [program] and turn [turnNumber] of it has run or is under way. */
+    suspend fun knowsTurn(
+        program: ProgramId,
+        account: ClientAccountId,
+        turnNumber: Int,
+    ): Boolean {
+        val location = ownership.locate(program)
+        return location is ProgramLocation.Here && host.knowsTurn(program, location.epoch, account, turnNumber)
+    }
+
     private suspend fun FlowCollector<LinkReply>.emitHere(
         request: ForwardRequest,
         epoch: Long,
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/GuardedCalls.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/GuardedCalls.kt
@@ -4,7 +4,9 @@
 import arrow.core.left
 import arrow.core.right
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.call.Execution
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.call.RefusalCode
@@ -22,6 +24,8 @@
 import org.chestnutloom.program.TurnIntent
 import org.chestnutloom.program.endedRefusal
 import java.util.UUID
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
 
@@ -67,7 +71,7 @@
         orphan: TurnIntent,
         turn: RunningTurn,
     ) {
-        val sidecar = orphan.target?.let(findSidecar)
+        val sidecar = orphan.target?.let { awaitListed(it) }
         val outcome =
             when {
                 orphan.incarnation == null -> AttemptOutcome.NotRun("the call was not sent")
@@ -82,6 +86,17 @@
         }
     }
 
+    /** Waits for [target] to be on the platform's list, which may lag, and returns its sidecar, or null. */
+    private suspend fun awaitListed(target: TargetId): Sidecar? =
+        withTimeoutOrNull(LISTING_PATIENCE) {
+            var sidecar = findSidecar(target)
+            while (sidecar == null) {
+                delay(LISTING_CHECK)
+                sidecar = findSidecar(target)
+            }
+            sidecar
+        }
+
     private suspend fun send(
         plan: CallPlan,
         id: CallId,
@@ -115,5 +130,7 @@
 
     private companion object {
         const val MAX_SIDECARS = 4
+        val LISTING_PATIENCE = 15.seconds
+        val LISTING_CHECK = 100.milliseconds
     }
 }
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/ProgramHost.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/ProgramHost.kt
@@ -21,6 +21,7 @@
 import org.chestnutloom.gateway.body.parseTurnBody
 import org.chestnutloom.gateway.control.Caller
 import org.chestnutloom.gateway.control.SettingsSource
+import org.chestnutloom.id.ClientAccountId
 import org.chestnutloom.id.ProgramId
 import org.chestnutloom.program.ProgramRecord
 import org.chestnutloom.program.ProgramState
@@ -58,6 +59,20 @@
     /** Tells whether a request or turn of [program]'s family is under way here. */
     fun isRunning(program: ProgramId): Boolean = registry.isInUse(program)
 
+    /** Tells whether turn [turnNumber] of [program] has run or is under way here, so that a repeat costs nothing. */
+    suspend fun knowsTurn(
+        program: ProgramId,
+        epoch: Long,
+        account: ClientAccountId,
+        turnNumber: Int,
+    ): Boolean =
+        registry.use(program, epoch) { family ->
+            val record = family.mutex.withLock { family.load(program) }.getOrNull()
+            val isKnown =
+                record != null && (turnNumber <= record.lastTurn || turnNumber == family.running[program]?.number)
+            isKnown && record.account == account
+        }
+
     private fun replies(
         family: Family,
         request: ForwardRequest,
--- a/chestnutloom-gateway/src/test/kotlin/org/chestnutloom/gateway/EdgeSpec.kt
+++ b/chestnutloom-gateway/src/test/kotlin/org/chestnutloom/gateway/EdgeSpec.kt
@@ -11,6 +11,7 @@
 import org.chestnutloom.gateway.Rig.Companion.completion
 import org.chestnutloom.gateway.Rig.Companion.model
 import org.chestnutloom.gateway.Rig.Companion.text
+import kotlin.random.Random
 
 internal class EdgeSpec :
     DescribeSpec({
@@ -88,6 +89,37 @@
             }
         }
 
+        describe("a connection that brings anything else than whole requests") {
+            it("is answered or closed, and the gateway lives on") {
+                val key = "Authorization: Bearer ${FakeControl.WARD_BEARER}"
+                val head = "POST /v1/programs HTTP/1.1\r\nHost: g\r\n$key\r\n"
+                val seed = 20_261_204
+                val noise = ByteArray(2_000).also { Random(seed).nextBytes(it) }
+                val cases =
+                    listOf(
+                        noise,
+                        (head + "Content-Length: 100\r\n\r\n{\"budget\":").toByteArray(),
+                        (head + "Content-Length: -5\r\n\r\n{}").toByteArray(),
+                        (head + "X-Odd: a\u0000b\rc\r\nContent-Length: 2\r\n\r\n{}").toByteArray(),
+                        (head + "Transfer-Encoding: chunked\r\n\r\n5\r\n{\"a").toByteArray(),
+                        "GET /v1/models HTTP/9.9\r\n\r\n".toByteArray(),
+                    )
+                cases.forEach { bytes -> rig.raw(bytes) shouldNotContain "\"state\"" }
+                rig.send("GET", "/v1/models").status shouldBe 200
+                rig.path.work.underWay shouldBe 0
+            }
+        }
+
+        describe("a repeat of a turn") {
+            it("costs nothing of the client account's rate") {
+                val program = rig.openProgram()
+                rig.turn(program, 1, model())
+                val before = rig.control.admitted
+                rig.turn(program, 1, model()).status shouldBe 200
+                rig.control.admitted shouldBe before
+            }
+        }
+
         describe("a client account over its rate") {
             it("is refused with the time after which to try again") {
                 val program = rig.openProgram()
--- a/chestnutloom-gateway/src/test/kotlin/org/chestnutloom/gateway/Rig.kt
+++ b/chestnutloom-gateway/src/test/kotlin/org/chestnutloom/gateway/Rig.kt
@@ -15,6 +15,7 @@
 import org.chestnutloom.time.systemClock
 import org.chestnutloom.wire.link.Heartbeat
 import org.chestnutloom.wire.link.PeerAddress
+import java.net.Socket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -92,6 +93,15 @@
         return Answer(response.statusCode(), response.body(), response.headers().map())
     }
 
+    /** Sends [bytes] over a connection of its own, ends the sending side, and returns what comes back. */
+    fun raw(bytes: ByteArray): String =
+        Socket("127.0.0.1", port).use { socket ->
+            socket.soTimeout = RAW_TIMEOUT_MS
+            socket.getOutputStream().write(bytes)
+            socket.shutdownOutput()
+            runCatching { String(socket.getInputStream().readAllBytes()) }.getOrDefault("")
+        }
+
     fun openProgram(
         tokens: Long = 10_000,
         calls: Long = 10,
@@ -121,6 +131,7 @@
     }
 
     companion object {
+        private const val RAW_TIMEOUT_MS = 5_000
         private val LEASE = 100.milliseconds
 
         fun model(
