--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/HistoryProof.kt
@@ -0,0 +1,109 @@
+package org.chestnutloom.integration.proof
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.chestnutloom.fakes.engine.AnswerText
+import org.chestnutloom.integration.fleet.Fleet
+import org.chestnutloom.integration.fleet.FleetOptions
+import org.chestnutloom.integration.fleet.TEST_MODEL
+import org.chestnutloom.integration.program.ProgramDriver
+import org.chestnutloom.integration.program.StreamText
+import org.chestnutloom.mechanism.Mechanism
+import kotlin.random.Random
+
+/** Gateways are killed one after the other, and replaced, while programs of two client accounts run. */
+class HistoryProof : Proof {
+    override val name = "history"
+    override val mechanisms = setOf(Mechanism.TURN_ORDER)
+    override val options = FleetOptions(gateways = 3, engines = 2, toolServices = 1, decodeMsPerStep = 15.0)
+
+    override suspend fun violations(
+        fleet: Fleet,
+        random: Random,
+    ): List<Violation> {
+        val keys = fleet.options.accounts.map { fleet.createKey(it.name).bearer }
+        val programs =
+            List(PROGRAMS) { ProgramDriver(fleet.caller, { fleet.gatewayUrls }, keys[it % keys.size], it) }
+        val wrongAnswers =
+            coroutineScope {
+                launch { killGateways(fleet, random) }
+                programs.mapIndexed { index, program -> async { runProgram(program, index) } }.awaitAll()
+            }
+        return wrongAnswers.flatten() + programs.flatMap { lostHistory(it) } + effects(fleet, programs)
+    }
+
+    private suspend fun killGateways(
+        fleet: Fleet,
+        random: Random,
+    ) {
+        repeat(KILLS) { kill ->
+            delay(random.nextLong(MIN_PAUSE_MS, MAX_PAUSE_MS))
+            fleet.gateways[kill].process.kill9()
+            fleet.startGateway(kill)
+        }
+    }
+
+    private suspend fun runProgram(
+        program: ProgramDriver,
+        index: Int,
+    ): List<Violation> {
+        program.open("history-$index")
+        val wrong = mutableListOf<Violation>()
+        for (number in 1..TURNS) {
+            if (number == TOOL_TURN) {
+                program.toolTurn(number, effect(program))
+                continue
+            }
+            val answer = program.modelTurn(number, message(program, number), TOKENS, stream = number % 2 == 0)
+            val isRight = StreamText.of(answer) == expected(program, number) || answer.isCutStream()
+            if (!isRight) wrong += Violation("each answer is the caller's own", "${program.id} turn $number: $answer")
+        }
+        return wrong
+    }
+
+    private fun org.chestnutloom.integration.caller.CallerAnswer.Whole.isCutStream(): Boolean =
+        isStream && events.lastOrNull() != "[DONE]"
+
+    private suspend fun lostHistory(program: ProgramDriver): List<Violation> =
+        (1..TURNS).filter { it != TOOL_TURN }.mapNotNull { number ->
+            val turn = program.readTurn(number)
+            val isKept = StreamText.of(turn) == expected(program, number)
+            Violation("no history is lost or mixed", "${program.id} turn $number: $turn").takeUnless { isKept }
+        }
+
+    private suspend fun effects(
+        fleet: Fleet,
+        programs: List<ProgramDriver>,
+    ): List<Violation> {
+        val records = fleet.requestsOf(fleet.tools)
+        return programs.mapNotNull { program ->
+            val runs = records.count { effect(program) in it.body }
+            Violation("a non-idempotent call runs at most once", "${program.id}: $runs runs").takeIf { runs > 1 }
+        }
+    }
+
+    private fun expected(
+        program: ProgramDriver,
+        number: Int,
+    ): String = AnswerText.whole(TEST_MODEL, message(program, number), TOKENS)
+
+    private fun message(
+        program: ProgramDriver,
+        number: Int,
+    ): String = "history ${program.id} turn-$number."
+
+    private fun effect(program: ProgramDriver): String = "payment of ${program.id}."
+
+    private companion object {
+        const val PROGRAMS = 50
+        const val TURNS = 5
+        const val TOOL_TURN = 3
+        const val TOKENS = 8
+        const val KILLS = 2
+        const val MIN_PAUSE_MS = 300L
+        const val MAX_PAUSE_MS = 900L
+    }
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/RateProof.kt
@@ -0,0 +1,119 @@
+package org.chestnutloom.integration.proof
+
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.chestnutloom.integration.caller.CallerAnswer
+import org.chestnutloom.integration.fleet.AccountOptions
+import org.chestnutloom.integration.fleet.Fleet
+import org.chestnutloom.integration.fleet.FleetOptions
+import org.chestnutloom.integration.program.ProgramDriver
+import org.chestnutloom.mechanism.Mechanism
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.random.Random
+
+/** One client account sends several times its rate through all gateways, while they die, freeze and thaw. */
+class RateProof : Proof {
+    override val name = "rate"
+    override val mechanisms = setOf(Mechanism.RATE_ESCROW)
+    override val options =
+        FleetOptions(
+            gateways = 3,
+            engines = 2,
+            toolServices = 1,
+            accounts =
+                listOf(
+                    AccountOptions("hospital", ratePerSecond = RATE, burst = BURST),
+                    AccountOptions("care-home"),
+                ),
+        )
+
+    override suspend fun violations(
+        fleet: Fleet,
+        random: Random,
+    ): List<Violation> {
+        val key = fleet.createKey("hospital").bearer
+        val sent = ConcurrentLinkedQueue<Sending>()
+        coroutineScope {
+            launch { disturb(fleet) }
+            repeat(SECONDS * SENDINGS_PER_SECOND) { number ->
+                launch { sent += send(fleet, key, number) }
+                delay(MS_PER_SECOND / SENDINGS_PER_SECOND)
+            }
+        }
+        return excess(sent.filter { it.isAdmitted })
+    }
+
+    private suspend fun disturb(fleet: Fleet) {
+        delay(STEP_MS)
+        fleet.gateways[0].process.stop()
+        delay(fleet.options.leaseMs)
+        fleet.gateways[0].process.cont()
+        fleet.gateways[1].process.kill9()
+        fleet.startGateway(1)
+    }
+
+    private suspend fun send(
+        fleet: Fleet,
+        key: String,
+        number: Int,
+    ): Sending {
+        val urls = fleet.gatewayUrls
+        val request = ProgramDriver.modelBody("rate $number", 1, stream = false).getValue("request")
+        val sentAtNanos = System.nanoTime()
+        val answer =
+            fleet.caller.send(
+                urls[number % urls.size],
+                HttpMethod.Post,
+                "/v1/chat/completions",
+                key,
+                request as kotlinx.serialization.json.JsonObject,
+            )
+        return Sending(sentAtNanos, System.nanoTime(), (answer as? CallerAnswer.Whole)?.status == OK)
+    }
+
+    /** Compares, for every window, the requests that surely were admitted inside it with what the account may use. */
+    private fun excess(admitted: List<Sending>): List<Violation> {
+        val starts = admitted.map { it.sentAtNanos }.sorted()
+        val ends = admitted.map { it.answeredAtNanos }.sorted()
+        println("rate admitted=${admitted.size}")
+        val worst =
+            starts
+                .flatMap { start ->
+                    ends.map { end -> Window(start, end) }
+                }.maxByOrNull { it.excess(admitted) }
+        val over = worst?.excess(admitted) ?: 0.0
+        println("rate worst excess=$over")
+        if (over <= 0.0) return emptyList()
+        return listOf(Violation("no client account gets more than its rate and burst", "$over over in $worst"))
+    }
+
+    private data class Sending(
+        val sentAtNanos: Long,
+        val answeredAtNanos: Long,
+        val isAdmitted: Boolean,
+    )
+
+    private data class Window(
+        val fromNanos: Long,
+        val untilNanos: Long,
+    ) {
+        fun excess(admitted: List<Sending>): Double {
+            if (untilNanos <= fromNanos) return 0.0
+            val inside = admitted.count { it.sentAtNanos >= fromNanos && it.answeredAtNanos <= untilNanos }
+            return inside - (BURST + RATE * (untilNanos - fromNanos) / NANOS_PER_SECOND)
+        }
+    }
+
+    private companion object {
+        const val RATE = 10.0
+        const val BURST = 10
+        const val SECONDS = 10
+        const val SENDINGS_PER_SECOND = 50
+        const val MS_PER_SECOND = 1_000L
+        const val STEP_MS = 2_000L
+        const val OK = 200
+        const val NANOS_PER_SECOND = 1e9
+    }
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/WithdrawnKeyProof.kt
@@ -0,0 +1,95 @@
+package org.chestnutloom.integration.proof
+
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.chestnutloom.integration.fleet.Fleet
+import org.chestnutloom.integration.fleet.FleetOptions
+import org.chestnutloom.integration.program.ProgramDriver
+import org.chestnutloom.mechanism.Mechanism
+import kotlin.random.Random
+
+/** A key is withdrawn while its calls run, wait and arrive, one gateway is cut off from the store, and one is frozen. */
+class WithdrawnKeyProof : Proof {
+    override val name = "withdrawn-key"
+    override val mechanisms = setOf(Mechanism.FRESHNESS, Mechanism.WITHDRAWAL_CANCEL)
+    override val options =
+        FleetOptions(
+            gateways = 3,
+            engines = 1,
+            toolServices = 1,
+            maxRunning = 2,
+            proxied = true,
+            decodeMsPerStep = 20.0,
+        )
+
+    override suspend fun violations(
+        fleet: Fleet,
+        random: Random,
+    ): List<Violation> {
+        val key = fleet.createKey("hospital")
+        val withdrawnAtMs =
+            coroutineScope {
+                val senders = fleet.gateways.indices.map { launch { sendAllTheTime(fleet, key.bearer, it) } }
+                delay(WARM_UP_MS)
+                fleet.proxy?.fault("gateway-1-table", "cut")
+                fleet.gateways[1].process.stop()
+                fleet.commandLine.run(
+                    "key",
+                    "withdraw",
+                    key.id,
+                    "--environment",
+                    Fleet.ENVIRONMENT,
+                    "--wait-seconds",
+                    "0",
+                )
+                val withdrawnAtMs = System.currentTimeMillis()
+                delay(BOUND_MS)
+                fleet.gateways[1].process.cont()
+                delay(AFTER_MS)
+                senders.forEach { it.stop() }
+                withdrawnAtMs
+            }
+        val late =
+            fleet.requestsOf(fleet.engines).filter { it.receivedAtMs > withdrawnAtMs + BOUND_MS && MARK in it.body }
+        val unfinished = fleet.requestsOf(fleet.engines).count { MARK in it.body && !it.finished && !it.cancelled }
+        println("withdrawn-key late=${late.size} unfinished=$unfinished")
+        return listOfNotNull(
+            Violation(
+                "a withdrawn key stops working within seconds",
+                "${late.size} calls",
+            ).takeIf { late.isNotEmpty() },
+        )
+    }
+
+    private suspend fun sendAllTheTime(
+        fleet: Fleet,
+        key: String,
+        gateway: Int,
+    ) = coroutineScope {
+        while (isActive) {
+            launch {
+                val request = ProgramDriver.modelBody(MARK, TOKENS, stream = true).getValue("request")
+                val url = fleet.gatewayUrls[gateway]
+                val body = request as kotlinx.serialization.json.JsonObject
+                fleet.caller.send(url, HttpMethod.Post, "/v1/chat/completions", key, body)
+            }
+            delay(SEND_INTERVAL_MS)
+        }
+    }
+
+    private suspend fun Job.stop() = cancelAndJoin()
+
+    private companion object {
+        const val MARK = "calls of the key to withdraw"
+        const val WARM_UP_MS = 1_500L
+        const val BOUND_MS = 9_000L
+        const val AFTER_MS = 3_000L
+        const val SEND_INTERVAL_MS = 150L
+        const val TOKENS = 20
+    }
+}
