Compose the gateway of its control plane, links and request path

Cause: the gateway module had all parts and no node that a daemon could start. Ruled out: refusing all forwarded requests in a planned stop, which would cut callers off from turns under way.

--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/GatewayNode.kt
@@ -0,0 +1,59 @@
+package org.chestnutloom.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.gateway.control.ControlPlane
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.platform.log.event
+import org.chestnutloom.platform.node.Node
+import org.chestnutloom.platform.node.NodeEndpoints
+import org.chestnutloom.wire.link.LinkServer
+import org.chestnutloom.wire.link.PeerAddress
+
+private val logger = KotlinLogging.logger {}
+
+/** Starts and stops the parts of a gateway in order. */
+internal class GatewayNode(
+    private val settings: GatewaySettings,
+    private val control: ControlPlane,
+    private val path: RequestPath,
+    private val linkServer: LinkServer,
+    private val scope: CoroutineScope,
+) : Node {
+    @Volatile
+    private var isStopping = false
+
+    override val isReady: Boolean
+        get() = !isStopping && control.isReady
+
+    @Volatile
+    override var endpoints: NodeEndpoints = NodeEndpoints(settings.http.port, settings.link.port)
+        private set
+
+    override suspend fun start() {
+        val linkPort = linkServer.start()
+        val address = settings.advertised ?: PeerAddress(settings.link.host, linkPort)
+        control.start(address)
+        val httpPort = path.start()
+        endpoints = NodeEndpoints(httpPort, linkPort)
+        logger.event("gateway_started", "gateway" to settings.id, "http_port" to httpPort, "link_port" to linkPort)
+    }
+
+    override suspend fun stopGracefully() {
+        isStopping = true
+        path.edge.isStopping = true
+        if (settings.mechanisms.has(Mechanism.GRACEFUL_STOP)) finishWork()
+        path.edge.stop()
+        linkServer.stop()
+        scope.cancel()
+    }
+
+    private suspend fun finishWork() {
+        logger.event("gateway_stopping", "under_way" to path.work.underWay)
+        withTimeoutOrNull(settings.stopTimeout) { path.work.awaitNone() }
+        control.stopGracefully()
+        logger.event("gateway_stopped", "under_way" to path.work.underWay)
+    }
+}
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/ingress/ProgramRouter.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/ingress/ProgramRouter.kt
@@ -99,21 +99,21 @@
         private var pause = FIRST_PAUSE
 
         suspend fun run() {
-            var answer = tryOnce()
+            var answer = tryOnce(ownership::locate)
             while (answer == null || isRepeatable(answer)) {
                 if (clock.elapsed() >= giveUpAt) break
                 delay(pause)
                 pause = (pause * 2).coerceAtMost(LAST_PAUSE)
                 splice.restart()
-                answer = tryOnce()
+                answer = tryOnce(ownership::relocate)
             }
             collector.emit(truthful(answer ?: refusedAnswer(unreachable(Execution.NOT_RUN))))
         }
 
-        private suspend fun tryOnce(): ForwardedAnswer? {
+        private suspend fun tryOnce(locate: suspend (ProgramId) -> ProgramLocation): ForwardedAnswer? {
             ownership.enter(request.program)
             try {
-                return when (val location = ownership.locate(request.program)) {
+                return when (val location = locate(request.program)) {
                     is ProgramLocation.Here -> deliver(host.handle(request, location.epoch))
                     is ProgramLocation.Elsewhere -> forward(location.link)
                     is ProgramLocation.Unavailable -> refusedAnswer(location.refusal)
