--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/CommonFlags.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/CommonFlags.kt
@@ -59,6 +59,12 @@
     return text
 }
 
+/** Returns which constant of an enumeration the flag names, written in lower case with hyphens, or [default]. */
+internal inline fun <reified E : Enum<E>> FlagReader.constant(
+    name: String,
+    default: E,
+): E = choice(name, enumValues<E>().associateBy { it.name.lowercase().replace('_', '-') }, default)
+
 /** Returns the mechanisms to run with. */
 internal fun FlagReader.mechanisms(): Mechanisms {
     val named = list("unsafe-disable").map { text -> text to Mechanism.entries.find { it.name == text.uppercase() } }
--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/GatewayFlags.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/GatewayFlags.kt
@@ -4,6 +4,8 @@
 import org.chestnutloom.id.GatewayId
 import org.chestnutloom.platform.flag.Flag
 import org.chestnutloom.platform.flag.FlagReader
+import org.chestnutloom.rate.RatePolicy
+import org.chestnutloom.route.RoutingPolicyKind
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -24,6 +26,8 @@
             Flag("lease-ms", "how long the gateway may act after its newest proof that it is current"),
             Flag("renew-interval-ms", "how often the lease is renewed"),
             Flag("poll-interval-ms", "how often the head row is read"),
+            Flag("routing-policy", "how targets are chosen: cost, least-loaded or random"),
+            Flag("rate-policy", "how rates are divided among gateways: escrow or static-share"),
             Flag("connect-timeout-ms", "how long connecting to another process may take"),
             Flag("store-timeout-ms", "how long the gateway waits for an answer of the platform"),
         )
@@ -50,6 +54,8 @@
             connectTimeout = duration("connect-timeout-ms", 1.seconds),
             storeTimeout = duration("store-timeout-ms", 1.seconds),
             stopTimeout = duration("stop-timeout-ms", 60.seconds),
+            routingPolicy = constant("routing-policy", RoutingPolicyKind.COST),
+            ratePolicy = constant("rate-policy", RatePolicy.ESCROW),
             mechanisms = mechanisms(),
         )
     requireBelow("renew-interval-ms", settings.renewInterval, "lease-ms", settings.lease)
