Report a closed link as a failure, not as a cancellation

Cause: a request on a link that was closed meanwhile could end as if its caller had been cancelled. Ruled out: checking first whether the link is open, which leaves a race with closing. Change: a cancelled connection attempt becomes LinkFailure.Unreachable unless the caller itself was cancelled.

--- a/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/TcpPeerLink.kt
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/TcpPeerLink.kt
@@ -4,12 +4,15 @@
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.FlowCollector
 import kotlinx.coroutines.flow.flow
@@ -92,8 +95,13 @@
 
     private suspend fun connected(): Either<LinkFailure, ClientConnection> {
         connection?.takeIf { it.isOpen }?.let { return it.right() }
-        if (!job.isActive) return LinkFailure.Unreachable(address, "the link was closed").left()
-        return sharedAttempt().await()
+        return try {
+            sharedAttempt().await()
+        } catch (_: CancellationException) {
+            // Either this caller or the link was cancelled; the latter is a failure, not a cancellation.
+            currentCoroutineContext().ensureActive()
+            LinkFailure.Unreachable(address, "the link was closed").left()
+        }
     }
 
     @Synchronized
--- a/chestnutloom-wire/src/test/kotlin/org/chestnutloom/wire/link/LinkSpec.kt
+++ b/chestnutloom-wire/src/test/kotlin/org/chestnutloom/wire/link/LinkSpec.kt
@@ -163,6 +163,19 @@
                 }
             }
 
+            it("fails open and later requests after the link is closed, without cancelling their callers") {
+                withRig {
+                    val link = link(server { flow { awaitCancellation() } }.start())
+                    coroutineScope {
+                        val open = async { failureOf { link.request(ProbeStore).toList() } }
+                        until { link.peer != null }
+                        link.close()
+                        open.await().shouldBeInstanceOf<LinkFailure.Lost>()
+                    }
+                    failureOf { link.request(ProbeStore).toList() }.shouldBeInstanceOf<LinkFailure.Unreachable>()
+                }
+            }
+
             it("is found by silence, and the next request uses a new connection") {
                 withRig(LinkRig(silence = 200.milliseconds)) {
                     ServerSocket(0).use { listening ->
