Wait for gateways that may all be cut off from the table service

Cause: the tool called a change in force when every lease row was old, though gateways that are all cut off from the table service may go on under the old configuration and keys. Ruled out: waiting for every gateway whose row is not fenced; one frozen gateway would hold up each change. Change: an old lease row is passed over only once another gateway has the change in force; a test that a silent link stays open with LINK_HEARTBEAT off.

--- a/chestnutloom-cli/src/main/kotlin/org/chestnutloom/cli/store/Acknowledgements.kt
+++ b/chestnutloom-cli/src/main/kotlin/org/chestnutloom/cli/store/Acknowledgements.kt
@@ -1,6 +1,7 @@
 package org.chestnutloom.cli.store
 
 import org.chestnutloom.config.ConfigHead
+import org.chestnutloom.id.GatewayId
 import org.chestnutloom.lease.LeaseRecord
 import org.chestnutloom.lease.LeaseState
 import kotlin.time.Duration
@@ -8,33 +9,46 @@
 /**
  * Tells which gateways still have to put a change in force.
  *
- * A gateway whose lease row was not written for longer than the lease cannot act, and what it does next needs a new
- * proof that it is current, so it is not waited for.
+ * A gateway whose lease row was not written for longer than the lease is not waited for once another gateway has the
+ * change in force: it may act only while no other gateway has read the table service since. While none has, all
+ * gateways may be cut off from the table service and go on together under what they had.
  */
 internal class Acknowledgements(
     private val wanted: ConfigHead,
     private val lease: Duration,
 ) {
-    private val lastWrites = mutableMapOf<String, Pair<Long, Duration>>()
+    private val lastWrites = mutableMapOf<String, LastWrite>()
 
     /** Takes note of the lease rows as read at [now], and returns the gateways that are still outstanding. */
     fun outstanding(
         rows: List<Pair<Long, LeaseRecord>>,
         now: Duration,
-    ): List<String> =
-        rows
-            .filter { (rowVersion, record) -> isOutstanding(rowVersion, record, now) }
-            .map { (_, record) -> record.id.value }
+    ): List<String> {
+        rows.forEach { (rowVersion, record) -> note(record.id, rowVersion, now) }
+        val live = rows.map { (_, record) -> record }.filter { it.state != LeaseState.FENCED }
+        val (inForce, others) = live.partition { isInForce(it) }
+        val waitedFor = if (inForce.isEmpty()) others else others.filterNot { isLapsed(it.id, now) }
+        return waitedFor.map { it.id.value }
+    }
 
-    private fun isOutstanding(
+    private fun note(
+        gateway: GatewayId,
         rowVersion: Long,
-        record: LeaseRecord,
         now: Duration,
-    ): Boolean {
-        val known = lastWrites[record.id.value]
-        if (known?.first != rowVersion) lastWrites[record.id.value] = rowVersion to now
-        val unchangedFor = now - lastWrites.getValue(record.id.value).second
-        val isInForce = record.configVersion >= wanted.configVersion && record.keyVersion >= wanted.keyVersion
-        return record.state != LeaseState.FENCED && !isInForce && unchangedFor <= lease
+    ) {
+        if (lastWrites[gateway.value]?.rowVersion != rowVersion) lastWrites[gateway.value] = LastWrite(rowVersion, now)
     }
+
+    private fun isInForce(record: LeaseRecord): Boolean =
+        record.configVersion >= wanted.configVersion && record.keyVersion >= wanted.keyVersion
+
+    private fun isLapsed(
+        gateway: GatewayId,
+        now: Duration,
+    ): Boolean = now - lastWrites.getValue(gateway.value).seenAt > lease
+
+    private class LastWrite(
+        val rowVersion: Long,
+        val seenAt: Duration,
+    )
 }
--- a/chestnutloom-wire/src/test/kotlin/org/chestnutloom/wire/link/LinkSpec.kt
+++ b/chestnutloom-wire/src/test/kotlin/org/chestnutloom/wire/link/LinkSpec.kt
@@ -22,6 +22,8 @@
 import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.withTimeout
 import org.chestnutloom.id.CallId
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.mechanism.Mechanisms
 import org.chestnutloom.wire.message.AttachCall
 import org.chestnutloom.wire.message.CallChunk
 import org.chestnutloom.wire.message.Done
@@ -192,6 +194,22 @@
                 }
             }
 
+            it("is not found when the mechanism is off") {
+                val off = Mechanisms.without(setOf(Mechanism.LINK_HEARTBEAT))
+                withRig(LinkRig(silence = 100.milliseconds, mechanisms = off)) {
+                    ServerSocket(0).use { listening ->
+                        val link = link(listening.localPort)
+                        coroutineScope {
+                            val open = async { link.request(ProbeStore).toList() }
+                            val peer = RawPeer.accept(listening, "s1")
+                            repeat(50) { peer.receiveUntil<Frame.Beat>() }
+                            open.isActive shouldBe true
+                            open.cancel()
+                        }
+                    }
+                }
+            }
+
             it("is found by silence also while a peer that reads nothing blocks the writer") {
                 withRig(LinkRig(silence = 200.milliseconds)) {
                     ServerSocket(0).use { listening ->
