Contract: Fence orders to engines, and keep "not run" true in every refusal

Cause: orders could reach an engine past its sidecar's fencing; a refusal to an earlier owner, or during a planned stop, said "not run" of a call that had run when its answer was forgotten; a call refused for lack of memory could be run by a late duplicate of the request. Ruled out: keeping the newest fencing number beyond a restart of the sidecar, which has no store; an engine that ignores numbers takes an older order after such a restart until a newer one comes.

--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarCore.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarCore.kt
@@ -31,6 +31,7 @@
 import org.chestnutloom.sidecar.gate.StartGate
 import org.chestnutloom.sidecar.gate.WithdrawnKeys
 import org.chestnutloom.sidecar.load.LoadReporter
+import org.chestnutloom.sidecar.order.OrderDesk
 import org.chestnutloom.sidecar.schedule.CallScheduler
 import org.chestnutloom.sidecar.target.Target
 import org.chestnutloom.sidecar.target.TargetMonitor
@@ -73,7 +74,7 @@
     private val scheduler = CallScheduler(clock, queueFor(settings.queuePolicy), { maxRunning }, launcher)
 
     val calls = CallService(settings, desk, scheduler, launcher, proofs, epochs, keys, cache, metrics, clock)
-    val handler = SidecarHandler(calls, proofs, reporter, terms)
+    val handler = SidecarHandler(calls, proofs, reporter, terms, OrderDesk(engine))
 
     /** The document's number goes before the one that the process was started with. */
     private val maxRunning: Int
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarHandler.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarHandler.kt
@@ -11,6 +11,7 @@
 import org.chestnutloom.sidecar.config.TargetTerms
 import org.chestnutloom.sidecar.gate.PeerProofs
 import org.chestnutloom.sidecar.load.LoadReporter
+import org.chestnutloom.sidecar.order.OrderDesk
 import org.chestnutloom.wire.link.Heartbeat
 import org.chestnutloom.wire.link.LinkHandler
 import org.chestnutloom.wire.link.PeerIdentity
@@ -23,6 +24,7 @@
 import org.chestnutloom.wire.message.ForgetCalls
 import org.chestnutloom.wire.message.LinkReply
 import org.chestnutloom.wire.message.LinkRequest
+import org.chestnutloom.wire.message.OrderTarget
 import org.chestnutloom.wire.message.QueryCall
 import org.chestnutloom.wire.message.RunCall
 import org.chestnutloom.wire.message.WatchLoad
@@ -33,6 +35,7 @@
     private val proofs: PeerProofs,
     private val reporter: LoadReporter,
     private val terms: TargetTerms,
+    private val orders: OrderDesk,
 ) : LinkHandler {
     override fun handle(
         peer: PeerIdentity,
@@ -46,6 +49,7 @@
             is ForgetCalls -> done { calls.forget(request.ids) }
             is EndProgram -> done { calls.endProgram(request.program) }
             is ApplyTargetSettings -> done { apply(request) }
+            is OrderTarget -> reply { orders.order(request) }
             WatchLoad -> reporter.watch(peer)
             else -> flowOf(CallRefused(unsupported))
         }
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallDesk.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallDesk.kt
@@ -13,6 +13,7 @@
 import org.chestnutloom.once.RunStatus
 import org.chestnutloom.time.Clock
 import org.chestnutloom.wire.link.PeerIdentity
+import org.chestnutloom.wire.message.CallRefused
 import org.chestnutloom.wire.message.CallRequest
 import org.chestnutloom.wire.message.CallState
 import org.chestnutloom.wire.message.CallStatus
@@ -28,6 +29,9 @@
     /** Returns the call [id] if its record is kept. */
     fun find(id: CallId): CallRecord? = table.find(id)?.value
 
+    /** Tells whether the call [id] is in the queue, runs, or ran. */
+    fun mayHaveRun(id: CallId): Boolean = table.find(id).let { it != null && it.state != RunState.NOT_RUN }
+
     /** Returns the calls that run at the target. */
     fun running(): List<CallRecord> = table.running()
 
@@ -38,17 +42,11 @@
     ): Either<Refusal, Admission> {
         if (!mechanisms.has(Mechanism.DUPLICATE_SUPPRESSION)) table.remove(request.id)
         val bytes = AnswerMemory.estimate(request)
-        if (!memory.reserve(bytes)) return joinOnly(sender, request)
+        if (!memory.reserve(bytes)) return admitWithoutMemory(sender, request)
         val claim =
             table.claim(request.id, request.attempt) { CallRecord(request, sender, clock.elapsed(), bytes) }
         if (claim !is Claim.First) memory.release(bytes)
-        return when (claim) {
-            is Claim.First -> open(claim)
-            is Claim.Repeat -> join(claim.value, sender, request)
-            Claim.Forgotten -> Refusals.forgotten.left()
-            Claim.Fenced -> Refusals.fenced.left()
-            Claim.Full -> Refusals.idsFull.left()
-        }
+        return outcomeOf(claim, sender, request)
     }
 
     /** Marks [record] as running; returns false when it must not start any more. */
@@ -101,14 +99,32 @@
 
     private fun unfenced(id: CallId): RunStatus<CallRecord> = table.find(id) ?: RunStatus(RunState.NOT_RUN, null)
 
-    private fun joinOnly(
+    /** Joins the run that there is, and otherwise refuses the call in a way that late duplicates cannot undo. */
+    private fun admitWithoutMemory(
         sender: PeerIdentity,
         request: CallRequest,
     ): Either<Refusal, Admission> {
-        val known = find(request.id) ?: return Refusals.memoryFull.left()
-        return join(known, sender, request)
+        val claim = table.claim(request.id, request.attempt) { CallRecord(request, sender, clock.elapsed(), 0) }
+        if (claim !is Claim.First) return outcomeOf(claim, sender, request)
+        claim.replaced?.let { memory.release(it.reservedBytes) }
+        table.refuse(request.id, request.attempt)
+        claim.value.end(CallRefused(Refusals.memoryFull))
+        return Refusals.memoryFull.left()
     }
 
+    private fun outcomeOf(
+        claim: Claim<CallRecord>,
+        sender: PeerIdentity,
+        request: CallRequest,
+    ): Either<Refusal, Admission> =
+        when (claim) {
+            is Claim.First -> open(claim)
+            is Claim.Repeat -> join(claim.value, sender, request)
+            Claim.Forgotten -> Refusals.forgotten.left()
+            Claim.Fenced -> Refusals.fenced.left()
+            Claim.Full -> Refusals.idsFull.left()
+        }
+
     private fun join(
         record: CallRecord,
         sender: PeerIdentity,
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallLauncher.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallLauncher.kt
@@ -1,12 +1,14 @@
 package org.chestnutloom.sidecar.call
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.chestnutloom.call.Execution
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.platform.log.event
+import org.chestnutloom.platform.log.warnEvent
 import org.chestnutloom.quarantine.CrashVerdict
 import org.chestnutloom.queue.PrefillMeter
 import org.chestnutloom.sidecar.SidecarMetrics
@@ -87,7 +89,7 @@
         metrics.recordStart(queuedMs)
         crashes.onSent(record.request.bodyHash)
         reporter.announce(record.sender)
-        val reply = runner.run(record, spans.traceParentOf(span))
+        val reply = runSafely(record, spans.traceParentOf(span))
         if (record.hasCrashed) reporter.announceToAll()
         crashes.onEnded(record.request.bodyHash, survivedAlone = isAlone && reply is CallEnded)
         record.end(reply)
@@ -119,6 +121,21 @@
         }
     }
 
+    /** A defect of ours must not keep the call's place and leave its senders without an end. */
+    @Suppress("TooGenericExceptionCaught")
+    private suspend fun runSafely(
+        record: CallRecord,
+        traceParent: String?,
+    ): LinkReply =
+        try {
+            runner.run(record, traceParent)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: RuntimeException) {
+            logger.warnEvent("call_failed", "call" to record.request.id, "cause" to e.toString())
+            CallRefused(Refusals.internal)
+        }
+
     private fun measurePrefill(
         record: CallRecord,
         reply: LinkReply,
--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallService.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallService.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.flow.flowOf
 import kotlinx.coroutines.flow.onCompletion
 import kotlinx.coroutines.flow.onStart
+import org.chestnutloom.call.Execution
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.id.CallId
 import org.chestnutloom.id.KeyId
@@ -60,8 +61,8 @@
         request: RunCall,
     ): Flow<LinkReply> {
         val call = request.call
-        if (!epochs.admits(call.program, call.ownerEpoch)) return refused(Refusals.olderOwner)
-        if (isStopping && desk.find(call.id) == null) return refused(Refusals.stopping)
+        if (!epochs.admits(call.program, call.ownerEpoch)) return refused(olderOwner(call.id))
+        if (isStopping && !desk.mayHaveRun(call.id)) return refused(Refusals.stopping)
         proofs.awaitFirst(sender, settings.gatewaySilence)
         return desk.admit(sender, call).fold(::refused) { open(it, request.fromChunk) }
     }
@@ -145,6 +146,9 @@
             .onStart { streams.incrementAndGet() }
             .onCompletion { streams.decrementAndGet() }
 
+    private fun olderOwner(id: CallId): Refusal =
+        if (desk.mayHaveRun(id)) Refusals.olderOwner.copy(execution = Execution.UNKNOWN) else Refusals.olderOwner
+
     private fun withdrawQueued(
         record: CallRecord,
         refusal: Refusal,
--- /dev/null
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/order/OrderDesk.kt
@@ -0,0 +1,78 @@
+package org.chestnutloom.sidecar.order
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import org.chestnutloom.call.Execution
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.platform.engine.EngineClient
+import org.chestnutloom.platform.engine.EngineFailure
+import org.chestnutloom.platform.engine.EngineOrder
+import org.chestnutloom.platform.engine.EngineOrderKind
+import org.chestnutloom.platform.log.event
+import org.chestnutloom.wire.message.CallRefused
+import org.chestnutloom.wire.message.Done
+import org.chestnutloom.wire.message.LinkReply
+import org.chestnutloom.wire.message.OrderFenced
+import org.chestnutloom.wire.message.OrderTarget
+import org.chestnutloom.wire.message.TargetOrderKind
+
+/**
+ * Hands orders to the engine one at a time and in the order of their fencing numbers.
+ *
+ * Engines that ignore fencing numbers are protected by it as long as orders reach them through their sidecar alone.
+ */
+internal class OrderDesk(
+    private val engine: EngineClient?,
+) {
+    private val logger = KotlinLogging.logger {}
+    private val mutex = Mutex()
+    private var newestFencing = 0L
+
+    suspend fun order(request: OrderTarget): LinkReply {
+        val reply = mutex.withLock { orderInTurn(request) }
+        logger.event(
+            "target_order",
+            "kind" to request.kind.name.lowercase(),
+            "fencing" to request.fencing,
+            "reply" to reply::class.simpleName,
+        )
+        return reply
+    }
+
+    private suspend fun orderInTurn(request: OrderTarget): LinkReply {
+        if (engine == null) return CallRefused(noEngine)
+        if (request.fencing < newestFencing) return OrderFenced(newestFencing)
+        newestFencing = request.fencing
+        val order = EngineOrder(request.fencing, kindOf(request.kind), request.argument)
+        return engine.order(order).fold({ replyTo(it) }, { Done })
+    }
+
+    private fun replyTo(failure: EngineFailure): LinkReply =
+        when (failure) {
+            is EngineFailure.Fenced -> fencedBy(failure)
+            is EngineFailure.Unreachable -> CallRefused(unreachable)
+            is EngineFailure.Rejected -> CallRefused(rejected)
+            is EngineFailure.NoAnswer, is EngineFailure.Malformed, EngineFailure.NotFound -> CallRefused(unknown)
+        }
+
+    private fun fencedBy(failure: EngineFailure.Fenced): LinkReply {
+        newestFencing = maxOf(newestFencing, failure.fencing)
+        return OrderFenced(newestFencing)
+    }
+
+    private companion object {
+        val noEngine = Refusal(RefusalCode.BAD_REQUEST, Execution.NOT_RUN, "The target takes no orders.")
+        val unreachable = Refusal(RefusalCode.NO_TARGET, Execution.NOT_RUN, "The engine takes no connections.")
+        val rejected = Refusal(RefusalCode.TARGET_ERROR, Execution.RAN, "The engine refused the order.")
+        val unknown = Refusal(RefusalCode.TARGET_LOST, Execution.UNKNOWN, "The engine did not confirm the order.")
+
+        fun kindOf(kind: TargetOrderKind): EngineOrderKind =
+            when (kind) {
+                TargetOrderKind.LOAD_MODEL -> EngineOrderKind.LOAD_MODEL
+                TargetOrderKind.LOAD_ADAPTER -> EngineOrderKind.LOAD_ADAPTER
+                TargetOrderKind.SET_ROLE -> EngineOrderKind.SET_ROLE
+            }
+    }
+}
--- a/chestnutloom-sidecar/src/test/kotlin/org/chestnutloom/sidecar/SidecarHandlerSpec.kt
+++ b/chestnutloom-sidecar/src/test/kotlin/org/chestnutloom/sidecar/SidecarHandlerSpec.kt
@@ -20,9 +20,15 @@
 import org.chestnutloom.wire.message.CallEnded
 import org.chestnutloom.wire.message.CallState
 import org.chestnutloom.wire.message.CancelCall
+import org.chestnutloom.wire.message.Done
 import org.chestnutloom.wire.message.ForgetCalls
+import org.chestnutloom.wire.message.LoadReport
+import org.chestnutloom.wire.message.OrderFenced
+import org.chestnutloom.wire.message.OrderTarget
 import org.chestnutloom.wire.message.QueryCall
 import org.chestnutloom.wire.message.RunCall
+import org.chestnutloom.wire.message.TargetOrderKind
+import org.chestnutloom.wire.message.WatchLoad
 import kotlin.time.Duration.Companion.seconds
 
 class SidecarHandlerSpec :
@@ -89,6 +95,14 @@
                     sidecar.target.sent shouldContainExactly listOf(firstCall)
                 }
             }
+            it("that ran is not called not run by a refusal to an earlier owner") {
+                runTest {
+                    val sidecar = SidecarFixture(this)
+                    sidecar.run(callRequest(ownerEpoch = 4))
+                    sidecar.run(callRequest(secondCall, ownerEpoch = 5))
+                    sidecar.run(callRequest(ownerEpoch = 4)).refusal().execution shouldBe Execution.UNKNOWN
+                }
+            }
             it("is never answered with another body's answer") {
                 runTest {
                     val sidecar = SidecarFixture(this)
@@ -144,6 +158,22 @@
             }
         }
 
+        describe("an engine stream that goes silent") {
+            it("is taken up on a new connection where it stopped") {
+                runTest {
+                    val sidecar = SidecarFixture(this)
+                    val replies = sidecar.run(callRequest(stream = true))
+                    sidecar.target.play(firstCall, TargetEvent.Chunk("a"))
+                    testScheduler.advanceTimeBy(4.seconds)
+                    sidecar.target.resumedFrom.shouldBeEmpty()
+                    sidecar.target.playOnResume(TargetEvent.Chunk("b"), TargetEvent.StreamEnd)
+                    testScheduler.advanceTimeBy(4.seconds)
+                    sidecar.target.resumedFrom shouldContainExactly listOf(1)
+                    replies.last().shouldBeInstanceOf<CallEnded>().chunks shouldBe 2
+                }
+            }
+        }
+
         describe("a question about a call") {
             it("makes not run true for calls that come later") {
                 runTest {
@@ -257,6 +287,52 @@
             }
         }
 
+        describe("a sidecar that was paused") {
+            it("starts nothing until heartbeats from after the pause have come") {
+                runTest {
+                    val sidecar = SidecarFixture(this)
+                    sidecar.core.tick()
+                    sidecar.run(callRequest())
+                    val queued = sidecar.run(callRequest(secondCall, queueTimeoutMs = 60_000))
+                    sidecar.clock.advance(20.seconds)
+                    sidecar.beat(gatewayA)
+                    sidecar.target.play(firstCall, answer)
+                    sidecar.settle()
+                    sidecar.target.sent shouldContainExactly listOf(firstCall)
+                    sidecar.clock.advance(1.seconds)
+                    sidecar.core.tick()
+                    sidecar.settle()
+                    queued.refusal().code shouldBe RefusalCode.GATEWAY_STALE
+                }
+            }
+        }
+
+        describe("the environment document") {
+            fun document(maxRunning: Int) = "targets { engine-1 { kind = tool, max_running = $maxRunning } }"
+
+            it("sets how many calls run, and an older version never comes back") {
+                runTest {
+                    val sidecar = SidecarFixture(this)
+                    sidecar.send(ApplyTargetSettings(2, 1, document(2), emptyList()))
+                    sidecar.send(ApplyTargetSettings(1, 1, document(9), emptyList()))
+                    val report = sidecar.send(WatchLoad).last().shouldBeInstanceOf<LoadReport>()
+                    report.maxRunningCalls shouldBe 2
+                }
+            }
+        }
+
+        describe("an order to the engine") {
+            it("is refused under a lower fencing number than one seen, whatever the engine checks") {
+                runTest {
+                    val sidecar = SidecarFixture(this)
+                    val newer = OrderTarget(7, TargetOrderKind.LOAD_MODEL, "m2")
+                    sidecar.send(newer) shouldContainExactly listOf(Done)
+                    sidecar.send(newer.copy(fencing = 6)) shouldContainExactly listOf(OrderFenced(7))
+                    sidecar.engine.orders.map { it.fencing } shouldContainExactly listOf(7L)
+                }
+            }
+        }
+
         describe("a body that crashes the target") {
             it("runs alone after one crash, and not at all after two") {
                 runTest {
