Give the sidecar's queue policy and idle limit as flags

Cause: the queue's baseline and the idle limit of cached programs could be set in code only, so that the experiment could not alternate queue policies. Ruled out: reading them from the environment document, which holds what all targets share.

--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/SidecarFlags.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/SidecarFlags.kt
@@ -5,6 +5,7 @@
 import org.chestnutloom.id.TargetId
 import org.chestnutloom.platform.flag.Flag
 import org.chestnutloom.platform.flag.FlagReader
+import org.chestnutloom.queue.QueuePolicy
 import org.chestnutloom.sidecar.SidecarSettings
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -21,10 +22,12 @@
             Flag("models", "models that the engine serves, separated by commas"),
             Flag("services", "plain services that the target runs, separated by commas"),
             Flag("max-running", "the most calls that run on the target at once"),
+            Flag("queue-policy", "order of queued calls: fair or fifo"),
             Flag("gateway-silence-ms", "how long after a gateway's newest proof its queued calls may still start"),
             Flag("answer-retention-ms", "how long an answer is kept that no gateway has called durable"),
             Flag("id-retention-ms", "how long the ids of calls are remembered"),
             Flag("program-retention-ms", "how long the engine keeps memory for a program that no gateway speaks of"),
+            Flag("program-idle-limit-ms", "how long the engine keeps memory for a program that has no call"),
             Flag("cache-sweep-interval-ms", "how often the engine's cache listing is compared with the programs"),
             Flag("load-report-interval-ms", "the shortest time between two load reports"),
         )
@@ -43,12 +46,14 @@
             models = list("models").map { ModelName(it) },
             services = list("services"),
             maxRunning = whole("max-running", 1..MOST_RUNNING, default = 8),
+            queuePolicy = choice("queue-policy", queuePolicies, QueuePolicy.FAIR),
             heartbeatInterval = duration("heartbeat-interval-ms", 500.milliseconds),
             linkSilence = duration("link-silence-ms", 2.seconds),
             gatewaySilence = duration("gateway-silence-ms", 4.seconds),
             answerRetention = duration("answer-retention-ms", 30.minutes),
             idRetention = duration("id-retention-ms", 60.minutes),
             programRetention = duration("program-retention-ms", 30.seconds),
+            programIdleLimit = duration("program-idle-limit-ms", 10.minutes),
             cacheSweepInterval = duration("cache-sweep-interval-ms", 2.seconds),
             loadReportInterval = duration("load-report-interval-ms", 100.milliseconds),
             stopTimeout = duration("stop-timeout-ms", 60.seconds),
@@ -75,4 +80,5 @@
     requireBelow("heartbeat-interval-ms", settings.heartbeatInterval, "link-silence-ms", settings.linkSilence)
 }
 
+private val queuePolicies = mapOf("fair" to QueuePolicy.FAIR, "fifo" to QueuePolicy.FIFO)
 private const val MOST_RUNNING = 100_000
