Keep what an account was served while it is idle for a moment

Cause: the fair queue forgot an account's served tokens as soon as nothing of it waited or ran, so an account whose queue ran empty now and then started level again and got more than its share. Ruled out: keeping every account's tokens for good, which grows with all accounts; an idle account is forgotten once the least served active one has been served as much, or nobody is active. Change: idle accounts keep their virtual tokens until then.

--- a/chestnutloom/src/main/kotlin/org/chestnutloom/queue/AccountShare.kt
+++ b/chestnutloom/src/main/kotlin/org/chestnutloom/queue/AccountShare.kt
@@ -21,6 +21,10 @@
     val hasCalls: Boolean
         get() = byService.isNotEmpty()
 
+    /** Whether the account has calls that wait or run. */
+    val isActive: Boolean
+        get() = hasCalls || runningCalls > 0
+
     fun add(call: QueuedCall) {
         byService.add(call)
         byArrival.add(call)
--- a/chestnutloom/src/main/kotlin/org/chestnutloom/queue/FairQueue.kt
+++ b/chestnutloom/src/main/kotlin/org/chestnutloom/queue/FairQueue.kt
@@ -9,7 +9,7 @@
  * Returns a queue that shares the target among client accounts by weight.
  *
  * The account with the fewest tokens served for its weight goes first; an account that arrives starts level with the
- * least served one. Within an account the call goes first whose program got the least service so far. A call that has
+ * least served one, unless it was served more before. Within an account the call goes first whose program got the least service so far. A call that has
  * waited longer than [starvationBound] goes before the other calls of its account, but not before other accounts: a
  * global bound would let an overloading account take the target over.
  */
@@ -50,14 +50,15 @@
         val call = calls[id] ?: return null
         val share = accounts.getValue(call.account)
         take(call, share)
-        dropIfIdle(call.account, share)
+        prune()
         return call
     }
 
     override fun tokensAhead(call: QueuedCall): Long {
         val own = accounts[call.account]
         val ownAhead = own?.tokensBefore(call) ?: 0
-        val start = (own?.virtualTokens ?: level()) + ownAhead / call.weight.toDouble()
+        val ownTokens = if (own != null && own.isActive) own.virtualTokens else startOf(own)
+        val start = ownTokens + ownAhead / call.weight.toDouble()
         val others = accounts.filterKeys { it != call.account }.values
         return ownAhead + others.sumOf { it.tokensUntil(start) }
     }
@@ -69,17 +70,21 @@
         val share = accounts[call.account] ?: return
         share.charge(usedTokens - call.costTokens)
         share.runningCalls--
-        dropIfIdle(call.account, share)
+        prune()
     }
 
     private fun shareOf(call: QueuedCall): AccountShare {
-        val share = accounts[call.account] ?: AccountShare(level()).also { accounts[call.account] = it }
+        val share = accounts.getOrPut(call.account) { AccountShare(virtualTokens = 0.0) }
+        if (!share.isActive) share.virtualTokens = startOf(share)
         share.weight = call.weight.coerceAtLeast(1)
         return share
     }
 
-    /** The virtual tokens of the least served account that has calls here, or 0. */
-    private fun level(): Double = accounts.values.minOfOrNull { it.virtualTokens } ?: 0.0
+    /** The virtual tokens with which an account becomes active: it keeps its own, but gets no credit for being idle. */
+    private fun startOf(share: AccountShare?): Double = maxOf(share?.virtualTokens ?: 0.0, level())
+
+    /** The virtual tokens of the least served active account, or 0. */
+    private fun level(): Double = accounts.values.filter { it.isActive }.minOfOrNull { it.virtualTokens } ?: 0.0
 
     private fun leastServed(): AccountShare? = accounts.values.filter { it.hasCalls }.minByOrNull { it.virtualTokens }
 
@@ -92,10 +97,10 @@
         queuedTokens -= call.costTokens
     }
 
-    private fun dropIfIdle(
-        account: ClientAccountId?,
-        share: AccountShare,
-    ) {
-        if (!share.hasCalls && share.runningCalls <= 0) accounts.remove(account)
+    /** Forgets idle accounts that would start level with the least served one in any case. */
+    private fun prune() {
+        val level = level()
+        val isIdle = accounts.values.none { it.isActive }
+        accounts.values.removeIf { !it.isActive && (isIdle || it.virtualTokens <= level) }
     }
 }
--- a/chestnutloom/src/test/kotlin/org/chestnutloom/queue/CallQueueSpec.kt
+++ b/chestnutloom/src/test/kotlin/org/chestnutloom/queue/CallQueueSpec.kt
@@ -80,6 +80,15 @@
                 val next = List(10) { queue.poll(Duration.ZERO)?.account?.value }
                 next.count { it == "new" } shouldBe 5
             }
+            it("does not forget what an account was served when it is idle for a moment") {
+                val queue = fairQueue()
+                repeat(5) { queue.add(call("b$it", "b")) }
+                queue.add(call("a0", "a", costTokens = 1_000))
+                List(2) { queue.poll(Duration.ZERO)?.id?.value } shouldContainExactly listOf("b0", "a0")
+                queue.settle(call("a0", "a", costTokens = 1_000), usedTokens = 1_000)
+                queue.add(call("a1", "a"))
+                queue.drain() shouldContainExactly listOf("b1", "b2", "b3", "b4", "a1")
+            }
             it("charges what a call took, not what it was estimated at") {
                 val queue = fairQueue()
                 queue.add(call("a0", "a"))
