--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/Main.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/Main.kt
@@ -3,6 +3,8 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 import org.chestnutloom.fakes.command.engineCommand
+import org.chestnutloom.fakes.command.experimentCommand
+import org.chestnutloom.fakes.command.loadCommand
 import org.chestnutloom.fakes.command.objectsCommand
 import org.chestnutloom.fakes.command.proxyCommand
 import org.chestnutloom.fakes.command.tableCommand
@@ -20,6 +22,8 @@
         toolCommand(),
         engineCommand(),
         proxyCommand(),
+        loadCommand(),
+        experimentCommand(),
     )
     parser.parse(args)
 }
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/command/QuietLibraries.kt
@@ -0,0 +1,12 @@
+package org.chestnutloom.fakes.command
+
+import ch.qos.logback.classic.Level
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+import ch.qos.logback.classic.Logger as LogbackLogger
+
+/** Keeps what libraries log below warnings out of the output. */
+internal fun quietLibraries() {
+    val root = LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME)
+    if (root is LogbackLogger) root.level = Level.WARN
+}
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/command/StandInCommand.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/command/StandInCommand.kt
@@ -1,6 +1,5 @@
 package org.chestnutloom.fakes.command
 
-import ch.qos.logback.classic.Level
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
@@ -8,9 +7,6 @@
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
 import org.chestnutloom.fakes.StandIn
-import org.slf4j.Logger
-import org.slf4j.LoggerFactory
-import ch.qos.logback.classic.Logger as LogbackLogger
 
 /** A command that runs one stand-in until the process ends. */
 @OptIn(ExperimentalCli::class)
@@ -36,9 +32,4 @@
             awaitCancellation()
         }
     }
-
-    private fun quietLibraries() {
-        val root = LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME)
-        if (root is LogbackLogger) root.level = Level.WARN
-    }
 }
