Pass an engine's flags in the form that the command line reads

Ruled out: another prefix style of the parser, which would change every command. Change: flags and values are separate arguments; a spec starts an engine process with flags and sees it die of a crashing request.

--- a/chestnutloom-fakes/src/test/kotlin/org/chestnutloom/fakes/launch/ProcessLauncherSpec.kt
+++ b/chestnutloom-fakes/src/test/kotlin/org/chestnutloom/fakes/launch/ProcessLauncherSpec.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import org.chestnutloom.fakes.StandInClient
+import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.time.Duration.Companion.seconds
@@ -72,6 +73,22 @@
             }
         }
 
+        describe("an engine process") {
+            it("takes its flags and dies of a crashing request, which its log file keeps") {
+                processLauncher(directory).use { launcher ->
+                    val log = directory.resolve("engine-requests.log")
+                    val flags =
+                        arrayOf("--max-batch", "2", "--prefill-tokens-per-second", "900.5", "--log-file", "$log")
+                    val engine = launcher.start(standInProcess("engine", "engine", *flags))
+                    val client = StandInClient(engine.awaitListening().port())
+                    val body = """{"model":"m","messages":[{"role":"user","content":"CRASH-ENGINE"}]}"""
+                    shouldThrow<IOException> { client.send("/v1/chat/completions", body) }
+                    engine.awaitExit() shouldBe KILLED
+                    Files.readString(log) shouldContain "CRASH-ENGINE"
+                }
+            }
+        }
+
         describe("an event line") {
             it("is read with its quoted values and without a prefix") {
                 val line = EventLine.parse("""12:00 INFO x - event=listening role=gateway port=12 note="a \"b\" c=d"""")
