Close caller connections at once at the end of a planned stop

Cause: in a trial of real processes under load, callers with kept-alive connections got 404 with an empty body from a gateway that was stopping; Ktor takes the routes away before it closes the connections that it gives a grace period. Ruled out: a longer grace period, which only lengthens the time of false answers. Change: no grace period; requests have ended by then, and new ones get `stopping` until the port closes.

--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/http/HttpEdge.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/http/HttpEdge.kt
@@ -166,7 +166,7 @@
         const val TRACE_PARENT_HEADER = "traceparent"
         const val BEARER_PREFIX = "Bearer "
         const val RETRY_AFTER_MS = 100L
-        const val STOP_GRACE_MS = 500L
-        const val STOP_TIMEOUT_MS = 2_000L
+        const val STOP_GRACE_MS = 0L
+        const val STOP_TIMEOUT_MS = 500L
     }
 }
