Use the library's retry budget and crash ledger

Cause: the gateway had its own stand-ins for both, written before the library's had landed. Ruled out: one retry budget for the life of the process, since the ratio is a setting that operators change. Change: ConfiguredRetryBudget follows the settings; CrashWatch records crashes, named by target and run, in CrashLedger.

--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/RequestPath.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/RequestPath.kt
@@ -5,13 +5,13 @@
 import kotlinx.coroutines.launch
 import org.chestnutloom.gateway.body.Redactor
 import org.chestnutloom.gateway.call.CallRunner
+import org.chestnutloom.gateway.call.ConfiguredRetryBudget
 import org.chestnutloom.gateway.call.CrashWatch
 import org.chestnutloom.gateway.call.LiveCalls
 import org.chestnutloom.gateway.call.SidecarNotices
 import org.chestnutloom.gateway.call.SidecarPool
 import org.chestnutloom.gateway.call.SidecarSettingsFeed
 import org.chestnutloom.gateway.call.TargetPicker
-import org.chestnutloom.gateway.call.TokenRetryGate
 import org.chestnutloom.gateway.http.CallerApi
 import org.chestnutloom.gateway.http.HttpEdge
 import org.chestnutloom.gateway.http.OpenApi
@@ -76,8 +76,7 @@
             crashes = crashes,
             keys = control.keys,
             proof = control.proof,
-            settings = control.settings,
-            retries = TokenRetryGate(),
+            retries = ConfiguredRetryBudget(control.settings),
             tracing = tracing,
             metrics = metrics,
             mechanisms = mechanisms,
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/call/CallRunner.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/call/CallRunner.kt
@@ -11,7 +11,6 @@
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.gateway.control.CurrencyProof
 import org.chestnutloom.gateway.control.KeyDirectory
-import org.chestnutloom.gateway.control.SettingsSource
 import org.chestnutloom.gateway.trace.Tracing
 import org.chestnutloom.gateway.trace.end
 import org.chestnutloom.gateway.trace.traceParent
@@ -20,6 +19,7 @@
 import org.chestnutloom.id.TargetId
 import org.chestnutloom.mechanism.Mechanisms
 import org.chestnutloom.platform.log.warnEvent
+import org.chestnutloom.retry.RetryBudget
 import java.util.UUID
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
@@ -35,8 +35,7 @@
     private val crashes: CrashWatch,
     private val keys: KeyDirectory,
     private val proof: CurrencyProof,
-    private val settings: SettingsSource,
-    private val retries: RetryGate,
+    private val retries: RetryBudget,
     private val tracing: Tracing,
     private val metrics: MeterRegistry,
     private val mechanisms: Mechanisms,
@@ -50,7 +49,7 @@
         plan: CallPlan,
         onChunk: suspend (String) -> Unit,
     ): CallResult {
-        settings.current.value?.let { retries.firstSending(it.settings.limits.retryRatio) }
+        retries.recordFirst()
         return RepeatedCall(plan, onChunk).run()
     }
 
@@ -168,7 +167,7 @@
             if (chunks > 0) return false
             if (!plan.idempotent && !isFree(refusal)) return false
             return when (refusal.code) {
-                RefusalCode.TARGET_LOST, RefusalCode.TARGET_ERROR -> isFree(refusal) || retries.tryRepeat()
+                RefusalCode.TARGET_LOST, RefusalCode.TARGET_ERROR -> isFree(refusal) || retries.tryRetry()
                 RefusalCode.OVERLOADED, RefusalCode.NO_TARGET, RefusalCode.STOPPING -> isFree(refusal)
                 RefusalCode.GATEWAY_STALE -> isFree(refusal)
                 else -> false
--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/call/ConfiguredRetryBudget.kt
@@ -0,0 +1,35 @@
+package org.chestnutloom.gateway.call
+
+import org.chestnutloom.gateway.control.SettingsSource
+import org.chestnutloom.retry.RetryBudget
+import org.chestnutloom.retry.retryBudget
+
+/** A retry budget whose ratio follows the environment's settings; a new ratio starts a new budget. */
+internal class ConfiguredRetryBudget(
+    private val settings: SettingsSource,
+) : RetryBudget {
+    private var ratio = 0.0
+    private var budget = retryBudget(ratio, MAX_RETRIES)
+
+    override fun recordFirst() = current().recordFirst()
+
+    override fun tryRetry(): Boolean = current().tryRetry()
+
+    @Synchronized
+    private fun current(): RetryBudget {
+        val inForce =
+            settings.current.value
+                ?.settings
+                ?.limits
+                ?.retryRatio ?: ratio
+        if (inForce != ratio) {
+            ratio = inForce
+            budget = retryBudget(inForce, MAX_RETRIES)
+        }
+        return budget
+    }
+
+    private companion object {
+        const val MAX_RETRIES = 20
+    }
+}
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/call/CrashWatch.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/call/CrashWatch.kt
@@ -7,6 +7,8 @@
 import org.chestnutloom.id.TargetId
 import org.chestnutloom.mechanism.Mechanism
 import org.chestnutloom.mechanism.Mechanisms
+import org.chestnutloom.quarantine.CrashLedger
+import org.chestnutloom.quarantine.CrashVerdict
 import org.chestnutloom.wire.link.LinkFailure
 import org.chestnutloom.wire.message.LoadReport
 
@@ -19,70 +21,63 @@
 internal class CrashWatch(
     private val mechanisms: Mechanisms,
 ) {
-    private val lock = Any()
     private val inFlight = HashMap<TargetId, InFlight>()
-    private val crashes = LinkedHashMap<String, MutableMap<CrashSite, Int>>()
+    private var ledger = CrashLedger.empty(MAX_HASHES)
 
     /** Refuses a call whose body was in flight at two crashes. */
+    @Synchronized
     fun check(bodyHash: String): Refusal? {
-        if (!mechanisms.has(Mechanism.QUARANTINE)) return null
-        val count = synchronized(lock) { crashes[bodyHash]?.values?.sum() ?: 0 }
-        return if (count >= QUARANTINE_CRASHES) quarantined() else null
+        val isQuarantined = ledger.verdictOf(bodyHash) == CrashVerdict.QUARANTINED
+        return if (isQuarantined && mechanisms.has(Mechanism.QUARANTINE)) quarantined() else null
     }
 
     /** Takes note of a report by the run [incarnation] of the sidecar of [target]. */
+    @Synchronized
     fun reported(
         target: TargetId,
         incarnation: Incarnation,
         report: LoadReport,
-    ) = synchronized(lock) {
+    ) {
         val before = inFlight[target]
-        if (before != null && before.incarnation != incarnation) countLost(target, before)
+        if (before != null && before.incarnation != incarnation) recordGone(target, before)
         inFlight[target] = InFlight(incarnation, report.inFlightHashes)
         val counts = report.crashedHashes.groupingBy { it }.eachCount()
-        counts.forEach { (hash, count) -> record(hash, CrashSite(target, incarnation), count) }
+        counts.forEach { (hash, count) -> recordCrashes(hash, count, "$target/$incarnation") }
     }
 
     /** Takes note that the watch on the sidecar of [target] ended. */
+    @Synchronized
     fun linkLost(
         target: TargetId,
         failure: LinkFailure?,
-    ) = synchronized(lock) {
+    ) {
         if (failure !is LinkFailure.Refused) return
-        val gone = inFlight.remove(target) ?: return
-        countLost(target, gone)
+        inFlight.remove(target)?.let { recordGone(target, it) }
     }
 
-    private fun countLost(
-        target: TargetId,
-        gone: InFlight,
-    ) = gone.hashes.distinct().forEach { record(it, CrashSite(target, gone.incarnation), 1) }
-
-    private fun record(
+    private fun recordCrashes(
         hash: String,
-        site: CrashSite,
         count: Int,
+        site: String,
+    ) = (1..count).forEach { ledger = ledger.recordCrash(listOf(hash), "$site/$it") }
+
+    private fun recordGone(
+        target: TargetId,
+        gone: InFlight,
     ) {
-        val sites = crashes.getOrPut(hash) { HashMap() }
-        sites[site] = maxOf(count, sites[site] ?: 0)
-        if (crashes.size > MAX_HASHES) crashes.remove(crashes.keys.first())
+        if (gone.hashes.isEmpty()) return
+        ledger = ledger.recordCrash(gone.hashes, "$target/${gone.incarnation}/gone")
     }
 
     private fun quarantined() =
         Refusal(RefusalCode.QUARANTINED, Execution.NOT_RUN, "calls with this body were in flight at two crashes")
 
-    private data class CrashSite(
-        val target: TargetId,
-        val incarnation: Incarnation,
-    )
-
     private class InFlight(
         val incarnation: Incarnation,
         val hashes: List<String>,
     )
 
     private companion object {
-        const val QUARANTINE_CRASHES = 2
         const val MAX_HASHES = 10_000
     }
 }
