Say that a recorded turn ran when its record cannot be read

Cause: with the object store down, a repeat of a finished turn was refused as not run. Ruled out: a refusal without an execution, which callers would have to treat as unknown. Change: such a refusal says that the turn ran; the refusal before the first configuration stands in one place.

--- /dev/null
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/SettingsInForce.kt
@@ -0,0 +1,14 @@
+package org.chestnutloom.gateway.control
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.chestnutloom.call.Execution
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.config.EnvironmentSettings
+
+/** Returns the settings in force, or refuses with `gateway_stale`, not run, before the first version has been read. */
+internal fun SettingsSource.inForce(): Either<Refusal, EnvironmentSettings> =
+    current.value?.settings?.right()
+        ?: Refusal(RefusalCode.GATEWAY_STALE, Execution.NOT_RUN, "no configuration has been read yet").left()
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/http/CallerApi.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/http/CallerApi.kt
@@ -11,9 +11,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.put
-import org.chestnutloom.call.Execution
 import org.chestnutloom.call.Refusal
-import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.config.EnvironmentSettings
 import org.chestnutloom.gateway.body.OpenBody
 import org.chestnutloom.gateway.body.Redactor
@@ -25,6 +23,7 @@
 import org.chestnutloom.gateway.control.Caller
 import org.chestnutloom.gateway.control.KeyDirectory
 import org.chestnutloom.gateway.control.SettingsSource
+import org.chestnutloom.gateway.control.inForce
 import org.chestnutloom.gateway.ingress.OneCall
 import org.chestnutloom.gateway.ingress.ProgramRouter
 import org.chestnutloom.gateway.program.ProgramHost
@@ -165,7 +164,7 @@
         val result =
             either {
                 val caller = keys.authenticate(exchange.bearer).bind()
-                val inForce = settings.current.value?.settings ?: raise(noSettings())
+                val inForce = settings.inForce().bind()
                 block(caller, inForce)
             }
         result.onLeft { responder.refuse(exchange, it) }
@@ -227,9 +226,6 @@
         return answer.copy(body = turn["body"].toString())
     }
 
-    private fun noSettings(): Refusal =
-        Refusal(RefusalCode.GATEWAY_STALE, Execution.NOT_RUN, "no configuration has been read yet")
-
     private companion object {
         const val PROGRAM_HEADER = "X-Program-Id"
         const val TURN_HEADER = "X-Turn"
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/http/OpenApi.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/http/OpenApi.kt
@@ -18,6 +18,7 @@
 import org.chestnutloom.gateway.call.CallPlan
 import org.chestnutloom.gateway.call.CallResult
 import org.chestnutloom.gateway.control.SettingsSource
+import org.chestnutloom.gateway.control.inForce
 import org.chestnutloom.gateway.ingress.OneCall
 import org.chestnutloom.gateway.trace.traceParent
 import org.chestnutloom.id.CallId
@@ -37,7 +38,7 @@
     }
 
     private suspend fun Raise<Refusal>.run(exchange: Exchange) {
-        val inForce = settings.current.value?.settings ?: raise(noSettings())
+        val inForce = settings.inForce().bind()
         val route = routeOf(exchange, inForce) ?: raise(noRoute())
         val body = readText(exchange.call, inForce.limits.maxBodyBytes).bind()
         val plan = plan(exchange, inForce, route, redactor.redact(body, exchange.bearer))
@@ -113,9 +114,6 @@
     private fun noRoute(): Refusal =
         Refusal(RefusalCode.NOT_FOUND, Execution.NOT_RUN, "there is no such route open to all")
 
-    private fun noSettings(): Refusal =
-        Refusal(RefusalCode.GATEWAY_STALE, Execution.NOT_RUN, "no configuration has been read yet")
-
     private companion object {
         const val PREFIX = "/open"
     }
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/ProgramHost.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/ProgramHost.kt
@@ -13,14 +13,13 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
-import org.chestnutloom.call.Execution
 import org.chestnutloom.call.Refusal
-import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.gateway.body.OpenBody
 import org.chestnutloom.gateway.body.badRequest
 import org.chestnutloom.gateway.body.parseTurnBody
 import org.chestnutloom.gateway.control.Caller
 import org.chestnutloom.gateway.control.SettingsSource
+import org.chestnutloom.gateway.control.inForce
 import org.chestnutloom.id.ClientAccountId
 import org.chestnutloom.id.ProgramId
 import org.chestnutloom.program.ProgramRecord
@@ -141,7 +140,7 @@
 
     private fun turnRequest(request: ForwardRequest): Either<Refusal, TurnRequest> =
         either {
-            val inForce = settings.current.value?.settings ?: raise(noSettings())
+            val inForce = settings.inForce().bind()
             val body = parseTurnBody(bodyOf(request).bind(), inForce).bind()
             val turnNumber = request.turnNumber ?: raise(badRequest("the turn number is missing"))
             TurnRequest(request.program, turnNumber, callerOf(request), body, inForce, request.traceParent)
@@ -159,9 +158,6 @@
 
     private fun callerOf(request: ForwardRequest): Caller = Caller(request.account, request.key)
 
-    private fun noSettings(): Refusal =
-        Refusal(RefusalCode.GATEWAY_STALE, Execution.NOT_RUN, "no configuration has been read yet")
-
     private fun nowMs(): Long = clock.now().toEpochMilli()
 
     internal companion object {
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/TurnService.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/program/TurnService.kt
@@ -161,7 +161,8 @@
     ): Step = starter.start(family, record, request).fold({ Step.refused(it) }, { Step.Follow(it) })
 
     private suspend fun recorded(request: TurnRequest): Step {
-        val turn = store.loadTurn(request.program, request.turnNumber).fold({ return Step.refused(it) }, { it })
+        val loaded = store.loadTurn(request.program, request.turnNumber)
+        val turn = loaded.fold({ return Step.refused(it.copy(execution = Execution.RAN)) }, { it })
         if (turn == null) return Step.refused(noSuchTurn(request.turnNumber))
         if (turn.bodyHash != request.body.hash) return Step.refused(mismatch(turn.turnNumber))
         return Step.Reply(replay(turn, request.body))
