Add proofs for outage, streams, operators, stops, memory, crashes and silence

Weighed: a spec for each with its own fleet code, or one runner; one runner keeps mechanism on and off the same and serves the command line too.

Change: the proofs, and a main program that runs them by name and seed.

Measured: they compile; none of these has been run yet.

--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/DrainProof.kt
@@ -0,0 +1,72 @@
+package org.chestnutloom.integration.proof
+
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.JsonObject
+import org.chestnutloom.integration.caller.CallerAnswer
+import org.chestnutloom.integration.fleet.Fleet
+import org.chestnutloom.integration.fleet.FleetOptions
+import org.chestnutloom.integration.program.ProgramDriver
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.store.VmRole
+import org.chestnutloom.store.VmState
+import kotlin.random.Random
+
+/** One target is drained by its operator, and another is only shown as leaving on the VM list. */
+class DrainProof : Proof {
+    override val name = "leaving-target"
+    override val mechanisms = setOf(Mechanism.DRAIN)
+    override val options = FleetOptions(gateways = 2, engines = 3, toolServices = 1)
+
+    override suspend fun violations(
+        fleet: Fleet,
+        random: Random,
+    ): List<Violation> {
+        val key = fleet.createKey("hospital").bearer
+        val before = sendAll(fleet, key)
+        val drained = fleet.engines[0]
+        val leaving = fleet.engines[1]
+        fleet.commandLine.run("drain", drained.name, "--environment", Fleet.ENVIRONMENT)
+        fleet.listVm(leaving.name, VmRole.TARGET, leaving.linkPort, VmState.LEAVING)
+        delay(BOUND_MS)
+        val countsBefore = listOf(drained, leaving).map { fleet.requestsOf(it).size }
+        val after = sendAll(fleet, key)
+        val countsAfter = listOf(drained, leaving).map { fleet.requestsOf(it).size }
+        return listOfNotNull(
+            Violation("a leaving target gets no new work", "$countsBefore then $countsAfter").takeIf {
+                countsBefore !=
+                    countsAfter
+            },
+            Violation("the other targets go on", "$before, $after").takeIf { before + after != CALLS * 2 },
+        )
+    }
+
+    private suspend fun sendAll(
+        fleet: Fleet,
+        key: String,
+    ): Int =
+        coroutineScope {
+            val calls = List(CALLS) { async { send(fleet, key, it) } }
+            calls.awaitAll().count { (it as? CallerAnswer.Whole)?.status == OK }
+        }
+
+    private suspend fun send(
+        fleet: Fleet,
+        key: String,
+        number: Int,
+    ): CallerAnswer {
+        val request = ProgramDriver.modelBody("drain $number", TOKENS, stream = false).getValue("request") as JsonObject
+        val urls = fleet.gatewayUrls
+        return fleet.caller.send(urls[number % urls.size], HttpMethod.Post, "/v1/chat/completions", key, request)
+    }
+
+    private companion object {
+        const val CALLS = 24
+        const val TOKENS = 8
+        const val BOUND_MS = 3_000L
+        const val OK = 200
+    }
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/EngineMemoryProof.kt
@@ -0,0 +1,76 @@
+package org.chestnutloom.integration.proof
+
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonObject
+import org.chestnutloom.integration.fleet.Fleet
+import org.chestnutloom.integration.fleet.FleetOptions
+import org.chestnutloom.integration.program.ProgramDriver
+import org.chestnutloom.mechanism.Mechanism
+import kotlin.random.Random
+
+/** Programs are closed and cancelled, and others lose their gateway or their sidecar for good. */
+class EngineMemoryProof : Proof {
+    override val name = "engine-memory"
+    override val mechanisms = setOf(Mechanism.CACHE_RELEASE)
+    override val options =
+        FleetOptions(
+            gateways = 2,
+            engines = 2,
+            toolServices = 1,
+            sidecarArguments = listOf("--program-retention-ms", "3000", "--program-idle-limit-ms", "6000"),
+            engineArguments = listOf("--event-loss-ratio", "0.3"),
+        )
+
+    override suspend fun violations(
+        fleet: Fleet,
+        random: Random,
+    ): List<Violation> {
+        val key = fleet.createKey("hospital").bearer
+        val programs = List(PROGRAMS) { ProgramDriver(fleet.caller, { fleet.gatewayUrls }, key, it) }
+        programs.forEachIndexed { index, program ->
+            program.open("memory-$index")
+            program.modelTurn(1, "remember this $index")
+        }
+        val heldAtFirst = held(fleet)
+        programs.forEachIndexed { index, program -> end(program, index) }
+        fleet.gateways[0].process.kill9()
+        fleet.engines[0].sidecar.kill9()
+        fleet.restartSidecar(fleet.engines[0])
+        repeat(MAX_POLLS) {
+            if (held(fleet).isEmpty()) return@repeat
+            delay(POLL_MS)
+        }
+        val left = held(fleet)
+        println("engine-memory held at first=${heldAtFirst.size} left=$left")
+        return listOfNotNull(
+            Violation("engines hold memory for programs", "none").takeIf { heldAtFirst.isEmpty() },
+            Violation("no engine memory stays held by programs that are gone", "$left").takeIf { left.isNotEmpty() },
+        )
+    }
+
+    private suspend fun end(
+        program: ProgramDriver,
+        index: Int,
+    ) {
+        if (index % WAYS_TO_END == 0) program.close()
+        if (index % WAYS_TO_END == 1) program.cancel()
+    }
+
+    private suspend fun held(fleet: Fleet): List<String> =
+        fleet.engines.flatMap { engine ->
+            val listing =
+                fleet.admin
+                    .read("${engine.directUrl}/v1/cache")
+                    .jsonObject
+                    .getValue("programs") as JsonObject
+            listing.filterValues { it.toString() != "0" }.keys
+        }
+
+    private companion object {
+        const val PROGRAMS = 9
+        const val WAYS_TO_END = 3
+        const val MAX_POLLS = 40
+        const val POLL_MS = 500L
+    }
+}
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/HistoryProof.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/HistoryProof.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.chestnutloom.fakes.engine.AnswerText
+import org.chestnutloom.integration.caller.CallerAnswer
 import org.chestnutloom.integration.fleet.Fleet
 import org.chestnutloom.integration.fleet.FleetOptions
 import org.chestnutloom.integration.fleet.TEST_MODEL
@@ -64,8 +65,7 @@
         return wrong
     }
 
-    private fun org.chestnutloom.integration.caller.CallerAnswer.Whole.isCutStream(): Boolean =
-        isStream && events.lastOrNull() != "[DONE]"
+    private fun CallerAnswer.Whole.isCutStream(): Boolean = isStream && events.lastOrNull() != "[DONE]"
 
     private suspend fun lostHistory(program: ProgramDriver): List<Violation> =
         (1..TURNS).filter { it != TOOL_TURN }.mapNotNull { number ->
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/OutageProof.kt
@@ -0,0 +1,104 @@
+package org.chestnutloom.integration.proof
+
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.delay
+import org.chestnutloom.fakes.engine.AnswerText
+import org.chestnutloom.integration.caller.CallerAnswer
+import org.chestnutloom.integration.fleet.Fleet
+import org.chestnutloom.integration.fleet.FleetOptions
+import org.chestnutloom.integration.fleet.TEST_MODEL
+import org.chestnutloom.integration.program.ProgramDriver
+import org.chestnutloom.integration.program.StreamText
+import org.chestnutloom.mechanism.Mechanism
+import kotlin.random.Random
+
+/** The table service and the object store are down for several leases, while all else works. */
+class OutageProof : Proof {
+    override val name = "store-outage"
+    override val mechanisms = setOf(Mechanism.DURABLE_INTENT)
+    override val options = FleetOptions(gateways = 2, engines = 2, toolServices = 1)
+
+    override suspend fun violations(
+        fleet: Fleet,
+        random: Random,
+    ): List<Violation> {
+        val key = fleet.createKey("hospital").bearer
+        val programs = List(PROGRAMS) { ProgramDriver(fleet.caller, { fleet.gatewayUrls }, key, it) }
+        programs.forEachIndexed { index, program ->
+            program.open("outage-$index")
+            program.modelTurn(1, message(program, 1), TOKENS)
+        }
+        val stores = listOf(fleet.table.url, fleet.objects.url)
+        stores.forEach { fleet.admin.fault(it, "down") }
+        delay(fleet.options.leaseMs)
+        val during = (2..LAST_TURN).flatMap { number -> programs.mapNotNull { duringOutage(fleet, it, number) } }
+        val refusals = programs.mapNotNull { refusedTruthfully(fleet, it) }
+        stores.forEach { fleet.admin.fault(it, "ok") }
+        delay(fleet.options.leaseMs)
+        replaceGateways(fleet)
+        return during + refusals + programs.flatMap { incomplete(it) }
+    }
+
+    private suspend fun duringOutage(
+        fleet: Fleet,
+        program: ProgramDriver,
+        number: Int,
+    ): Violation? {
+        delay(fleet.options.leaseMs / PROGRAMS)
+        val answer = program.modelTurn(number, message(program, number), TOKENS, stream = number % 2 == 0)
+        if (StreamText.of(answer) == expected(program, number)) return null
+        return Violation("keyed model calls go on in a total outage", "${program.id} turn $number: $answer")
+    }
+
+    private suspend fun refusedTruthfully(
+        fleet: Fleet,
+        program: ProgramDriver,
+    ): Violation? {
+        val effect = "outage effect of ${program.id}."
+        val answer =
+            program.sendOnce(
+                0,
+                HttpMethod.Post,
+                "/v1/programs/${program.id}/turns/${LAST_TURN + 1}",
+                ProgramDriver.toolBody(effect, idempotent = false),
+            )
+        val runs = fleet.requestsOf(fleet.tools).count { effect in it.body }
+        val error = (answer as? CallerAnswer.Whole)?.error
+        if (runs == 0 && error?.execution == "not_run") return null
+        return Violation("a non-idempotent call without a durable intent does not run", "$runs runs, $answer")
+    }
+
+    private suspend fun replaceGateways(fleet: Fleet) {
+        fleet.gateways.indices.forEach { index ->
+            fleet.gateways[index].process.term()
+            fleet.gateways[index].process.awaitExit()
+            fleet.startGateway(index)
+        }
+    }
+
+    private suspend fun incomplete(program: ProgramDriver): List<Violation> =
+        (1..LAST_TURN).mapNotNull { number ->
+            val turn = program.readTurn(number)
+            val isKept = StreamText.of(turn) == expected(program, number)
+            Violation(
+                "after an outage all journals are complete",
+                "${program.id} turn $number: $turn",
+            ).takeUnless { isKept }
+        }
+
+    private fun expected(
+        program: ProgramDriver,
+        number: Int,
+    ): String = AnswerText.whole(TEST_MODEL, message(program, number), TOKENS)
+
+    private fun message(
+        program: ProgramDriver,
+        number: Int,
+    ): String = "outage ${program.id} turn-$number."
+
+    private companion object {
+        const val PROGRAMS = 6
+        const val LAST_TURN = 4
+        const val TOKENS = 6
+    }
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/QuarantineProof.kt
@@ -0,0 +1,42 @@
+package org.chestnutloom.integration.proof
+
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.delay
+import org.chestnutloom.integration.fleet.Fleet
+import org.chestnutloom.integration.fleet.FleetOptions
+import org.chestnutloom.integration.program.ProgramDriver
+import org.chestnutloom.mechanism.Mechanism
+import kotlin.random.Random
+
+/** One body crashes every engine that runs it, and its caller sends it again in new programs. */
+class QuarantineProof : Proof {
+    override val name = "crashing-request"
+    override val mechanisms = setOf(Mechanism.QUARANTINE)
+    override val options = FleetOptions(gateways = 2, engines = 4, toolServices = 1)
+
+    override suspend fun violations(
+        fleet: Fleet,
+        random: Random,
+    ): List<Violation> {
+        val key = fleet.createKey("hospital").bearer
+        repeat(SENDINGS) { sending ->
+            val program = ProgramDriver(fleet.caller, { fleet.gatewayUrls }, key, sending)
+            program.open("crash-$sending")
+            val body = ProgramDriver.modelBody("CRASH-ENGINE please", TOKENS, stream = false)
+            program.sendOnce(sending, HttpMethod.Post, "/v1/programs/${program.id}/turns/1", body)
+            delay(RESEND_DELAY_MS)
+        }
+        val crashed = fleet.engines.count { !it.process.isAlive }
+        println("crashing-request crashed=$crashed")
+        return listOfNotNull(
+            Violation("at most two targets die of one request", "$crashed died").takeIf { crashed > MOST_CRASHES },
+        )
+    }
+
+    private companion object {
+        const val SENDINGS = 8
+        const val TOKENS = 4
+        const val RESEND_DELAY_MS = 500L
+        const val MOST_CRASHES = 2
+    }
+}
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/RateProof.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/RateProof.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.serialization.json.JsonObject
 import org.chestnutloom.integration.caller.CallerAnswer
 import org.chestnutloom.integration.fleet.AccountOptions
 import org.chestnutloom.integration.fleet.Fleet
@@ -68,7 +69,7 @@
                 HttpMethod.Post,
                 "/v1/chat/completions",
                 key,
-                request as kotlinx.serialization.json.JsonObject,
+                request as JsonObject,
             )
         return Sending(sentAtNanos, System.nanoTime(), (answer as? CallerAnswer.Whole)?.status == OK)
     }
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/SilentConnectionProof.kt
@@ -0,0 +1,71 @@
+package org.chestnutloom.integration.proof
+
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.integration.caller.CallerAnswer
+import org.chestnutloom.integration.fleet.Fleet
+import org.chestnutloom.integration.fleet.FleetOptions
+import org.chestnutloom.integration.program.ProgramDriver
+import org.chestnutloom.mechanism.Mechanism
+import kotlin.random.Random
+
+/** All open connections between our processes go silent, while new ones work. */
+class SilentConnectionProof : Proof {
+    override val name = "silent-connections"
+    override val mechanisms = setOf(Mechanism.LINK_HEARTBEAT)
+    override val options = FleetOptions(gateways = 2, engines = 1, toolServices = 1, proxied = true)
+
+    override suspend fun violations(
+        fleet: Fleet,
+        random: Random,
+    ): List<Violation> {
+        val key = fleet.createKey("hospital").bearer
+        val programs = List(PROGRAMS) { ProgramDriver(fleet.caller, { fleet.gatewayUrls }, key, it) }
+        programs.forEachIndexed { index, program ->
+            program.open("silent-$index")
+            program.modelTurn(1, "warm up")
+            program.toolTurn(2, "warm up of ${program.id}.")
+        }
+        links.forEach { fleet.proxy?.fault(it, "silent") }
+        val answers = coroutineScope { programs.map { async { sendBoth(it) } }.awaitAll() }
+        val runs = programs.map { program -> fleet.requestsOf(fleet.tools).count { effect(program) in it.body } }
+        println("silent-connections answers=$answers runs=$runs")
+        return listOfNotNull(
+            Violation("new work goes by a new connection", "$answers").takeIf { answers.any { !it } },
+            Violation("nothing runs twice", "$runs").takeIf { runs.any { it > 1 } },
+        )
+    }
+
+    private suspend fun sendBoth(program: ProgramDriver): Boolean {
+        val isDone =
+            withTimeoutOrNull(GIVE_UP_MS) {
+                isWhole(program, MODEL_TURN) && isWhole(program, MODEL_TURN + 1)
+            }
+        return isDone == true
+    }
+
+    private suspend fun isWhole(
+        program: ProgramDriver,
+        number: Int,
+    ): Boolean {
+        val isModel = number == MODEL_TURN
+        val tool = ProgramDriver.toolBody(effect(program), idempotent = false)
+        val body = if (isModel) ProgramDriver.modelBody("after silence", TOKENS, stream = false) else tool
+        val answer = program.sendOnce(number, HttpMethod.Post, "/v1/programs/${program.id}/turns/$number", body)
+        return (answer as? CallerAnswer.Whole)?.status == OK
+    }
+
+    private fun effect(program: ProgramDriver): String = "effect after silence of ${program.id}."
+
+    private companion object {
+        val links = listOf("gateway-1-link", "gateway-2-link", "engine-1-link", "tool-1-link")
+        const val PROGRAMS = 4
+        const val MODEL_TURN = 3
+        const val TOKENS = 4
+        const val OK = 200
+        const val GIVE_UP_MS = 15_000L
+    }
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/WholeAnswerProof.kt
@@ -0,0 +1,89 @@
+package org.chestnutloom.integration.proof
+
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import org.chestnutloom.fakes.engine.AnswerText
+import org.chestnutloom.integration.caller.CallerAnswer
+import org.chestnutloom.integration.fleet.Fleet
+import org.chestnutloom.integration.fleet.FleetOptions
+import org.chestnutloom.integration.fleet.TEST_MODEL
+import org.chestnutloom.integration.program.ProgramDriver
+import org.chestnutloom.integration.program.StreamText
+import org.chestnutloom.mechanism.Mechanism
+import kotlin.random.Random
+
+/** Streams break between engine and sidecar and between sidecar and gateway, while many answers cross. */
+class WholeAnswerProof : Proof {
+    override val name = "whole-answer"
+    override val mechanisms = setOf(Mechanism.STREAM_COMPLETENESS)
+    override val options =
+        FleetOptions(gateways = 2, engines = 1, toolServices = 1, proxied = true, decodeMsPerStep = 10.0)
+
+    override suspend fun violations(
+        fleet: Fleet,
+        random: Random,
+    ): List<Violation> {
+        val key = fleet.createKey("hospital").bearer
+        return cutAtEngine(fleet, key, random) + cutAtLink(fleet, key, random)
+    }
+
+    private suspend fun cutAtEngine(
+        fleet: Fleet,
+        key: String,
+        random: Random,
+    ): List<Violation> {
+        val url = fleet.engines.first().directUrl
+        fleet.admin.fault(url, "cut_stream", count = CUTS, afterChunks = random.nextInt(1, TOKENS - 1))
+        val found = sendAll(fleet, key, "engine")
+        fleet.admin.fault(url, "ok")
+        return found
+    }
+
+    private suspend fun cutAtLink(
+        fleet: Fleet,
+        key: String,
+        random: Random,
+    ): List<Violation> {
+        val cutAfter = random.nextLong(MIN_CUT_BYTES, MAX_CUT_BYTES)
+        fleet.proxy?.fault("engine-1-link", "cut", count = CUTS, afterBytes = cutAfter)
+        val found = sendAll(fleet, key, "link")
+        fleet.proxy?.fault("engine-1-link", "pass")
+        return found
+    }
+
+    private suspend fun sendAll(
+        fleet: Fleet,
+        key: String,
+        label: String,
+    ): List<Violation> =
+        coroutineScope {
+            List(STREAMS) { index -> async { send(fleet, key, "$label $index.", index) } }.awaitAll().filterNotNull()
+        }
+
+    private suspend fun send(
+        fleet: Fleet,
+        key: String,
+        message: String,
+        gateway: Int,
+    ): Violation? {
+        val program = ProgramDriver(fleet.caller, { fleet.gatewayUrls }, key, gateway)
+        program.open("whole-$message".filter { it.isLetterOrDigit() })
+        val body = ProgramDriver.modelBody(message, TOKENS, stream = true)
+        val answer = program.sendOnce(gateway, HttpMethod.Post, "/v1/programs/${program.id}/turns/1", body)
+        val whole = answer as? CallerAnswer.Whole ?: return null
+        val isReported = whole.error != null || whole.events.lastOrNull() != "[DONE]"
+        val isRight = StreamText.of(whole) == AnswerText.whole(TEST_MODEL, message, TOKENS)
+        if (isReported || isRight) return null
+        return Violation("a cut answer is never passed off as whole", "$message $whole")
+    }
+
+    private companion object {
+        const val STREAMS = 16
+        const val TOKENS = 20
+        const val CUTS = 4
+        const val MIN_CUT_BYTES = 500L
+        const val MAX_CUT_BYTES = 4_000L
+    }
+}
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/WithdrawnKeyProof.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/WithdrawnKeyProof.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.serialization.json.JsonObject
 import org.chestnutloom.integration.fleet.Fleet
 import org.chestnutloom.integration.fleet.FleetOptions
 import org.chestnutloom.integration.program.ProgramDriver
@@ -75,7 +76,7 @@
             launch {
                 val request = ProgramDriver.modelBody(MARK, TOKENS, stream = true).getValue("request")
                 val url = fleet.gatewayUrls[gateway]
-                val body = request as kotlinx.serialization.json.JsonObject
+                val body = request as JsonObject
                 fleet.caller.send(url, HttpMethod.Post, "/v1/chat/completions", key, body)
             }
             delay(SEND_INTERVAL_MS)
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/prove/Main.kt
@@ -0,0 +1,39 @@
+package org.chestnutloom.integration.prove
+
+import kotlinx.coroutines.runBlocking
+import org.chestnutloom.integration.proof.Proof
+import org.chestnutloom.integration.proof.ProofRunner
+import org.chestnutloom.integration.proof.allProofs
+import kotlin.system.exitProcess
+
+private const val DEFAULT_SEED = 20_261
+private const val USAGE_EXIT_CODE = 2
+
+/**
+ * Runs proofs by name, each without and with its mechanisms, and prints what was seen.
+ *
+ * Arguments: names of proofs, or none for all, and `--seed=N`. Exits with 1 unless each is violated without and holds
+ * with its mechanisms.
+ */
+fun main(arguments: Array<String>) {
+    val seed = arguments.firstOrNull { it.startsWith("--seed=") }?.substringAfter('=')?.toInt() ?: DEFAULT_SEED
+    val names = arguments.filterNot { it.startsWith("--") }
+    val proofs = allProofs.filter { names.isEmpty() || it.name in names }
+    if (proofs.isEmpty()) {
+        println("known proofs: ${allProofs.joinToString { it.name }}")
+        exitProcess(USAGE_EXIT_CODE)
+    }
+    val outcomes = runBlocking { proofs.map { outcome(it, seed) } }
+    exitProcess(if (outcomes.all { it }) 0 else 1)
+}
+
+private suspend fun outcome(
+    proof: Proof,
+    seed: Int,
+): Boolean {
+    val without = ProofRunner.run(proof, seed, withMechanisms = false)
+    val with = ProofRunner.run(proof, seed, withMechanisms = true)
+    println("outcome=${proof.name} seed=$seed violations_without=${without.size} violations_with=${with.size}")
+    (without.take(1) + with).forEach { println("  $it") }
+    return without.isNotEmpty() && with.isEmpty()
+}
