End a planned stop that fails with exit code 1

Cause: an exception in the planned stop left the process with the exit code of the signal and no event. Ruled out: exit code 0 in every case, which would hide cut requests. Change: stop_failed is logged and the process halts with 1. The failing stop itself was not brought about.

--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/DaemonProcess.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/DaemonProcess.kt
@@ -10,6 +10,9 @@
 /** The exit code when the node cannot be started. */
 internal const val EXIT_START_FAILED: Int = 1
 
+/** The exit code when a planned stop met a defect. */
+internal const val EXIT_STOP_FAILED: Int = 1
+
 /** The exit code when the command line is faulty. */
 internal const val EXIT_USAGE: Int = 2
 
@@ -36,13 +39,22 @@
         runBlocking { daemon.start() }
         daemon
     } catch (e: Exception) {
-        val logger = KotlinLogging.logger("org.chestnutloom.daemon")
-        logger.warnEvent("start_failed", "cause" to e.javaClass.simpleName, "detail" to e.message.orEmpty())
+        daemonLogger().warnEvent("start_failed", "cause" to e.javaClass.simpleName, "detail" to e.message.orEmpty())
         exitProcess(EXIT_START_FAILED)
     }
 
 /** Stops on SIGTERM or SIGINT; halting gives exit code 0 where the runtime would report the signal. */
 private fun stopAndHalt(daemon: Daemon) {
-    runBlocking { daemon.stop() }
-    Runtime.getRuntime().halt(0)
+    val exitCode =
+        try {
+            runBlocking { daemon.stop() }
+            0
+        } catch (e: Exception) {
+            daemonLogger().warnEvent("stop_failed", "cause" to e.javaClass.simpleName, "detail" to e.message.orEmpty())
+            EXIT_STOP_FAILED
+        }
+    Runtime.getRuntime().halt(exitCode)
 }
+
+/** Returns the logger, which may be made only after its configuration was named. */
+private fun daemonLogger() = KotlinLogging.logger("org.chestnutloom.daemon")
