--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallRunner.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/call/CallRunner.kt
@@ -11,21 +11,14 @@
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.call.CallKind
-import org.chestnutloom.call.Execution
-import org.chestnutloom.call.Refusal
-import org.chestnutloom.call.RefusalCode
-import org.chestnutloom.call.Usage
 import org.chestnutloom.retry.Backoff
 import org.chestnutloom.sidecar.SidecarMetrics
-import org.chestnutloom.sidecar.target.CompletionAssembler
 import org.chestnutloom.sidecar.target.Target
 import org.chestnutloom.sidecar.target.TargetEvent
 import org.chestnutloom.sidecar.target.TargetFailure
 import org.chestnutloom.sidecar.target.TargetMonitor
 import org.chestnutloom.sidecar.target.lost
 import org.chestnutloom.time.Clock
-import org.chestnutloom.wire.message.CallEnded
-import org.chestnutloom.wire.message.CallRefused
 import org.chestnutloom.wire.message.CallRequest
 import org.chestnutloom.wire.message.LinkReply
 import kotlin.random.Random
@@ -48,7 +41,7 @@
         val limit = record.request.runTimeoutMs.milliseconds
         val reply = withTimeoutOrNull(limit) { runUnlessStopped(record, traceParent) }
         if (reply == null) target.cancel(record.request.id)
-        return reply ?: refused(record, Refusals.timeout)
+        return reply ?: EndReplies.refused(record, Refusals.timeout)
     }
 
     private suspend fun runUnlessStopped(
@@ -65,7 +58,7 @@
             if (stopped != null) return@coroutineScope stopped
             work.cancel()
             target.cancel(record.request.id)
-            refused(record, record.stopRequest.await())
+            EndReplies.refused(record, record.stopRequest.await())
         }
 
     private suspend fun execute(
@@ -84,7 +77,7 @@
             if (record.current.chunks.size > before) failures = 0
         }
         val serviceMs = (clock.elapsed() - startedAt).inWholeMilliseconds
-        return replyTo(record, event, serviceMs)
+        return EndReplies.of(record, event, serviceMs)
     }
 
     /** Collects the answer's chunks and returns the event that ended it. */
@@ -131,60 +124,6 @@
         return if (failure is TargetFailure.NotSent) lost(failure.detail) else event
     }
 
-    private fun replyTo(
-        record: CallRecord,
-        event: TargetEvent,
-        serviceMs: Long,
-    ): LinkReply =
-        when (event) {
-            is TargetEvent.Answer -> answered(record, event, serviceMs)
-            TargetEvent.StreamEnd -> streamed(record, serviceMs)
-            is TargetEvent.Chunk -> CallRefused(Refusals.internal)
-            is TargetEvent.Failed -> refused(record, refusalFor(event.failure))
-        }
-
-    private fun answered(
-        record: CallRecord,
-        answer: TargetEvent.Answer,
-        serviceMs: Long,
-    ): LinkReply {
-        val isEngine = record.request.kind == CallKind.MODEL
-        if (isEngine && answer.status >= SERVER_ERROR) return CallRefused(targetError(answer.status))
-        val usage = if (isEngine) CompletionAssembler.usageOf(listOf(answer.body)) else Usage()
-        return CallEnded(answer.status, answer.contentType, answer.body, chunks = 0, usage, serviceMs)
-    }
-
-    private fun streamed(
-        record: CallRecord,
-        serviceMs: Long,
-    ): LinkReply {
-        val chunks = record.current.chunks
-        val body = CompletionAssembler.assemble(chunks)
-        return CallEnded(OK, JSON, body, chunks.size, CompletionAssembler.usageOf(chunks), serviceMs)
-    }
-
-    private fun refusalFor(failure: TargetFailure): Refusal =
-        when (failure) {
-            is TargetFailure.NotSent -> Refusals.notRun(RefusalCode.NO_TARGET, "The target takes no connections.")
-            is TargetFailure.Unsendable -> Refusals.badRequest
-            TargetFailure.Silent -> Refusals.targetLost
-            is TargetFailure.Lost -> Refusals.targetLost
-            TargetFailure.UnknownRequest -> Refusals.targetLost
-            TargetFailure.AnswerTooLarge -> Refusals.answerTooLarge
-        }
-
-    private fun targetError(status: Int): Refusal =
-        Refusal(RefusalCode.TARGET_ERROR, Execution.RAN, "The target answered with status $status.")
-
-    /** A call that has sent a part of its answer did run. */
-    private fun refused(
-        record: CallRecord,
-        refusal: Refusal,
-    ): CallRefused {
-        val hasAnswered = record.current.chunks.isNotEmpty()
-        return CallRefused(if (hasAnswered) refusal.copy(execution = Execution.RAN) else refusal)
-    }
-
     private val CallRequest.isEngineStream: Boolean
         get() = kind == CallKind.MODEL && stream
 
@@ -194,8 +133,5 @@
         val FIRST_CHUNK_SILENCE = 15.seconds
         val CHUNK_SILENCE = 5.seconds
         const val MAX_RESUMES = 6
-        const val OK = 200
-        const val SERVER_ERROR = 500
-        const val JSON = "application/json"
     }
 }
--- a/chestnutloom-sidecar/src/test/kotlin/org/chestnutloom/sidecar/SidecarHandlerSpec.kt
+++ b/chestnutloom-sidecar/src/test/kotlin/org/chestnutloom/sidecar/SidecarHandlerSpec.kt
@@ -9,11 +9,8 @@
 import org.chestnutloom.call.Execution
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.id.CallId
-import org.chestnutloom.id.KeyId
 import org.chestnutloom.mechanism.Mechanism
 import org.chestnutloom.sidecar.target.TargetEvent
-import org.chestnutloom.sidecar.target.TargetFailure
-import org.chestnutloom.sidecar.target.TargetHealth
 import org.chestnutloom.wire.message.ApplyTargetSettings
 import org.chestnutloom.wire.message.AttachCall
 import org.chestnutloom.wire.message.CallChunk
@@ -29,14 +26,10 @@
 import org.chestnutloom.wire.message.RunCall
 import org.chestnutloom.wire.message.TargetOrderKind
 import org.chestnutloom.wire.message.WatchLoad
-import kotlin.time.Duration.Companion.seconds
 
 class SidecarHandlerSpec :
     DescribeSpec({
         val secondCall = CallId("p1/2")
-        val lostEvent = TargetEvent.Failed(TargetFailure.Lost("cut"))
-
-        fun withdraw(key: String) = ApplyTargetSettings(1, 1, "", listOf(KeyId(key)))
 
         describe("a call") {
             it("runs once, and a repeat from another gateway gets the same answer") {
@@ -112,68 +105,6 @@
             }
         }
 
-        describe("a lost reply") {
-            it("of a non-idempotent call is an unknown outcome that never runs again") {
-                runTest {
-                    val sidecar = SidecarFixture(this)
-                    val replies = sidecar.run(callRequest(idempotent = false))
-                    sidecar.target.play(firstCall, lostEvent)
-                    sidecar.settle()
-                    replies.refusal().execution shouldBe Execution.UNKNOWN
-                    sidecar.run(callRequest(idempotent = false, attempt = 2)).refusal() shouldBe replies.refusal()
-                    sidecar.target.sent.size shouldBe 1
-                }
-            }
-            it("of an idempotent call lets a higher attempt run") {
-                runTest {
-                    val sidecar = SidecarFixture(this)
-                    sidecar.run(callRequest())
-                    sidecar.target.play(firstCall, lostEvent)
-                    sidecar.settle()
-                    sidecar.run(callRequest(attempt = 2))
-                    sidecar.target.sent.size shouldBe 2
-                }
-            }
-            it("is not run when no connection came about") {
-                runTest {
-                    val sidecar = SidecarFixture(this)
-                    val replies = sidecar.run(callRequest(idempotent = false))
-                    sidecar.target.play(firstCall, TargetEvent.Failed(TargetFailure.NotSent("refused")))
-                    sidecar.settle()
-                    replies.refusal().execution shouldBe Execution.NOT_RUN
-                    sidecar.ask(QueryCall(firstCall, fence = true)).state shouldBe CallState.NOT_RUN
-                }
-            }
-            it("of a stream is resumed at the engine without loss or repetition") {
-                runTest {
-                    val sidecar = SidecarFixture(this)
-                    val replies = sidecar.run(callRequest(stream = true))
-                    sidecar.target.playOnResume(TargetEvent.Chunk("b"), TargetEvent.StreamEnd)
-                    sidecar.target.play(firstCall, TargetEvent.Chunk("a"), lostEvent)
-                    testScheduler.advanceTimeBy(5.seconds)
-                    replies.filterIsInstance<CallChunk>().map { it.data } shouldContainExactly listOf("a", "b")
-                    replies.last().shouldBeInstanceOf<CallEnded>()
-                    sidecar.target.resumedFrom shouldContainExactly listOf(1)
-                }
-            }
-        }
-
-        describe("an engine stream that goes silent") {
-            it("is taken up on a new connection where it stopped") {
-                runTest {
-                    val sidecar = SidecarFixture(this)
-                    val replies = sidecar.run(callRequest(stream = true))
-                    sidecar.target.play(firstCall, TargetEvent.Chunk("a"))
-                    testScheduler.advanceTimeBy(4.seconds)
-                    sidecar.target.resumedFrom.shouldBeEmpty()
-                    sidecar.target.playOnResume(TargetEvent.Chunk("b"), TargetEvent.StreamEnd)
-                    testScheduler.advanceTimeBy(4.seconds)
-                    sidecar.target.resumedFrom shouldContainExactly listOf(1)
-                    replies.last().shouldBeInstanceOf<CallEnded>().chunks shouldBe 2
-                }
-            }
-        }
-
         describe("a question about a call") {
             it("makes not run true for calls that come later") {
                 runTest {
@@ -229,84 +160,6 @@
             }
         }
 
-        describe("a queued call") {
-            it("does not start when its key was withdrawn meanwhile") {
-                runTest {
-                    val sidecar = SidecarFixture(this)
-                    sidecar.run(callRequest(key = "key-2"))
-                    val queued = sidecar.run(callRequest(secondCall))
-                    sidecar.send(withdraw("key-1"))
-                    queued.refusal().code shouldBe RefusalCode.UNAUTHORIZED
-                    queued.refusal().execution shouldBe Execution.NOT_RUN
-                }
-            }
-            it("does not start when its gateway's proof grew old, unless another gateway took it over") {
-                runTest {
-                    val sidecar = SidecarFixture(this)
-                    sidecar.run(callRequest())
-                    val orphan = sidecar.run(callRequest(secondCall))
-                    val adopted = sidecar.run(callRequest(CallId("p1/3")))
-                    sidecar.clock.advance(5.seconds)
-                    sidecar.beat(gatewayB)
-                    sidecar.run(callRequest(CallId("p1/3")), gatewayB)
-                    sidecar.target.play(firstCall, answer)
-                    sidecar.settle()
-                    orphan.refusal().code shouldBe RefusalCode.GATEWAY_STALE
-                    sidecar.target.play(CallId("p1/3"), answer)
-                    sidecar.settle()
-                    adopted.last().shouldBeInstanceOf<CallEnded>()
-                    sidecar.target.sent shouldContainExactly listOf(firstCall, CallId("p1/3"))
-                }
-            }
-            it("is refused as not run when it waited too long") {
-                runTest {
-                    val sidecar = SidecarFixture(this)
-                    sidecar.run(callRequest())
-                    val queued = sidecar.run(callRequest(secondCall, queueTimeoutMs = 1_000))
-                    sidecar.clock.advance(1.seconds)
-                    sidecar.core.calls.expireQueue()
-                    sidecar.settle()
-                    queued.refusal().code shouldBe RefusalCode.OVERLOADED
-                    queued.refusal().execution shouldBe Execution.NOT_RUN
-                }
-            }
-        }
-
-        describe("a withdrawn key") {
-            it("stops running calls but not a non-idempotent one") {
-                runTest {
-                    val sidecar = SidecarFixture(this, maxRunning = 2)
-                    val idempotent = sidecar.run(callRequest())
-                    val effect = sidecar.run(callRequest(secondCall, idempotent = false))
-                    sidecar.send(withdraw("key-1"))
-                    idempotent.refusal().code shouldBe RefusalCode.UNAUTHORIZED
-                    sidecar.target.play(secondCall, answer)
-                    sidecar.settle()
-                    effect.last().shouldBeInstanceOf<CallEnded>()
-                }
-            }
-        }
-
-        describe("a sidecar that was paused") {
-            it("starts nothing until heartbeats from after the pause have come") {
-                runTest {
-                    val sidecar = SidecarFixture(this)
-                    sidecar.core.tick()
-                    sidecar.run(callRequest())
-                    val queued = sidecar.run(callRequest(secondCall, queueTimeoutMs = 60_000))
-                    sidecar.clock.advance(20.seconds)
-                    sidecar.beat(gatewayA)
-                    sidecar.target.play(firstCall, answer)
-                    sidecar.settle()
-                    sidecar.target.sent shouldContainExactly listOf(firstCall)
-                    sidecar.clock.advance(1.seconds)
-                    sidecar.core.tick()
-                    sidecar.settle()
-                    queued.refusal().code shouldBe RefusalCode.GATEWAY_STALE
-                }
-            }
-        }
-
         describe("the environment document") {
             fun document(maxRunning: Int) = "targets { engine-1 { kind = tool, max_running = $maxRunning } }"
 
@@ -332,32 +185,4 @@
                 }
             }
         }
-
-        describe("a body that crashes the target") {
-            it("runs alone after one crash, and not at all after two") {
-                runTest {
-                    val sidecar = SidecarFixture(this, maxRunning = 2)
-
-                    fun crash(id: CallId) {
-                        sidecar.run(callRequest(id, body = "deadly"))
-                        sidecar.target.health = TargetHealth.REFUSED
-                        sidecar.target.play(id, lostEvent)
-                        sidecar.settle()
-                        sidecar.target.health = TargetHealth.UP
-                    }
-                    crash(CallId("p1/1"))
-                    sidecar.core.probeTarget()
-                    sidecar.run(callRequest(secondCall, body = "harmless"))
-                    sidecar.run(callRequest(CallId("p1/3"), body = "deadly"))
-                    sidecar.target.sent.size shouldBe 2
-                    sidecar.target.play(secondCall, answer)
-                    sidecar.settle()
-                    crash(CallId("p1/3"))
-                    sidecar.core.probeTarget()
-                    sidecar.run(callRequest(CallId("p1/4"), body = "deadly")).refusal().code shouldBe
-                        RefusalCode.QUARANTINED
-                    sidecar.target.sent.size shouldBe 3
-                }
-            }
-        }
     })
