--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/SidecarFlags.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/SidecarFlags.kt
@@ -22,12 +22,12 @@
             Flag("models", "models that the engine serves, separated by commas"),
             Flag("services", "plain services that the target runs, separated by commas"),
             Flag("max-running", "the most calls that run on the target at once"),
-            Flag("queue-policy", "order of queued calls: fair or fifo"),
+            Flag("queue-policy", "the order in which queued calls start: fair or fifo"),
             Flag("gateway-silence-ms", "how long after a gateway's newest proof its queued calls may still start"),
             Flag("answer-retention-ms", "how long an answer is kept that no gateway has called durable"),
             Flag("id-retention-ms", "how long the ids of calls are remembered"),
             Flag("program-retention-ms", "how long the engine keeps memory for a program that no gateway speaks of"),
-            Flag("program-idle-limit-ms", "how long the engine keeps memory for a program that has no call"),
+            Flag("program-idle-limit-ms", "how long the engine keeps memory for a program that makes no call"),
             Flag("cache-sweep-interval-ms", "how often the engine's cache listing is compared with the programs"),
             Flag("load-report-interval-ms", "the shortest time between two load reports"),
         )
@@ -46,7 +46,7 @@
             models = list("models").map { ModelName(it) },
             services = list("services"),
             maxRunning = whole("max-running", 1..MOST_RUNNING, default = 8),
-            queuePolicy = choice("queue-policy", queuePolicies, QueuePolicy.FAIR),
+            queuePolicy = constant("queue-policy", QueuePolicy.FAIR),
             heartbeatInterval = duration("heartbeat-interval-ms", 500.milliseconds),
             linkSilence = duration("link-silence-ms", 2.seconds),
             gatewaySilence = duration("gateway-silence-ms", 4.seconds),
@@ -80,5 +80,4 @@
     requireBelow("heartbeat-interval-ms", settings.heartbeatInterval, "link-silence-ms", settings.linkSilence)
 }
 
-private val queuePolicies = mapOf("fair" to QueuePolicy.FAIR, "fifo" to QueuePolicy.FIFO)
 private const val MOST_RUNNING = 100_000
