--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/BudgetProof.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/BudgetProof.kt
@@ -31,6 +31,7 @@
         val records = fleet.requestsOf(fleet.engines).filter { it.programId.orEmpty().startsWith(parent.id) }
         val calls = records.size
         val tokens = records.sumOf { (it.promptTokens ?: 0) + (it.completionTokens ?: 0) }
+        println("budget calls=$calls tokens=$tokens ends=$ends")
         return listOfNotNull(
             Violation("a budget of calls holds", "$calls calls of $CALL_BUDGET").takeIf { calls > CALL_BUDGET },
             Violation("a budget of tokens holds", "$tokens of $TOKEN_BUDGET").takeIf { tokens > TOKEN_BUDGET },
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/ProofSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/ProofSpec.kt
@@ -9,13 +9,15 @@
 
 private const val SEED = 20_261
 
-/** Runs [proof] twice: without its mechanisms it must find violations, with them it must find none. */
+/** Runs [proof] without its mechanisms, if it names any, to find violations, and with them to find none. */
 abstract class ProofSpec(
     proof: Proof,
 ) : DescribeSpec({
         describe(proof.name) {
-            it("is violated without ${proof.mechanisms}") {
-                ProofRunner.run(proof, SEED, withMechanisms = false).shouldNotBeEmpty()
+            if (proof.mechanisms.isNotEmpty()) {
+                it("is violated without ${proof.mechanisms}") {
+                    ProofRunner.run(proof, SEED, withMechanisms = false).shouldNotBeEmpty()
+                }
             }
             it("holds with ${proof.mechanisms}") {
                 withClue("seed $SEED") { ProofRunner.run(proof, SEED, withMechanisms = true).shouldBeEmpty() }
