--- a/chestnutloom-wire/src/test/kotlin/org/chestnutloom/wire/link/LinkSpec.kt
+++ b/chestnutloom-wire/src/test/kotlin/org/chestnutloom/wire/link/LinkSpec.kt
@@ -22,6 +22,8 @@
 import kotlinx.coroutines.flow.toList
 import kotlinx.coroutines.withTimeout
 import org.chestnutloom.id.CallId
+import org.chestnutloom.mechanism.Mechanism
+import org.chestnutloom.mechanism.Mechanisms
 import org.chestnutloom.wire.message.AttachCall
 import org.chestnutloom.wire.message.CallChunk
 import org.chestnutloom.wire.message.Done
@@ -163,6 +165,19 @@
                 }
             }
 
+            it("fails open and later requests after the link is closed, without cancelling their callers") {
+                withRig {
+                    val link = link(server { flow { awaitCancellation() } }.start())
+                    coroutineScope {
+                        val open = async { failureOf { link.request(ProbeStore).toList() } }
+                        until { link.peer != null }
+                        link.close()
+                        open.await().shouldBeInstanceOf<LinkFailure.Lost>()
+                    }
+                    failureOf { link.request(ProbeStore).toList() }.shouldBeInstanceOf<LinkFailure.Unreachable>()
+                }
+            }
+
             it("is found by silence, and the next request uses a new connection") {
                 withRig(LinkRig(silence = 200.milliseconds)) {
                     ServerSocket(0).use { listening ->
@@ -179,6 +194,22 @@
                 }
             }
 
+            it("is not found when the mechanism is off") {
+                val off = Mechanisms.without(setOf(Mechanism.LINK_HEARTBEAT))
+                withRig(LinkRig(silence = 100.milliseconds, mechanisms = off)) {
+                    ServerSocket(0).use { listening ->
+                        val link = link(listening.localPort)
+                        coroutineScope {
+                            val open = async { link.request(ProbeStore).toList() }
+                            val peer = RawPeer.accept(listening, "s1")
+                            repeat(50) { peer.receiveUntil<Frame.Beat>() }
+                            open.isActive shouldBe true
+                            open.cancel()
+                        }
+                    }
+                }
+            }
+
             it("is found by silence also while a peer that reads nothing blocks the writer") {
                 withRig(LinkRig(silence = 200.milliseconds)) {
                     ServerSocket(0).use { listening ->
