--- /dev/null
+++ b/examples/src/main/kotlin/org/chestnutloom/examples/AtMostOnceCall.kt
@@ -0,0 +1,66 @@
+package org.chestnutloom.examples
+
+import org.chestnutloom.id.CallId
+import org.chestnutloom.once.Claim
+import org.chestnutloom.once.DuplicateTable
+import org.chestnutloom.once.RunState
+import org.chestnutloom.once.duplicateTable
+import org.chestnutloom.store.Condition
+import org.chestnutloom.store.RowWrite
+import org.chestnutloom.store.TableStore
+import org.chestnutloom.store.Transaction
+import org.chestnutloom.store.memoryTableStore
+import org.chestnutloom.time.systemClock
+
+/** Runs payments beside the service that makes them, each id at most once. */
+class PaymentRunner {
+    private val runs: DuplicateTable<String> = duplicateTable(systemClock(), maxIds = 1000)
+
+    /** How many payments were made. */
+    var paymentCount = 0
+        private set
+
+    /** Makes the payment unless its id was run or fenced before. */
+    fun run(id: CallId): String =
+        when (val claim = runs.claim(id, attempt = 1) { "receipt of $id" }) {
+            is Claim.First -> pay(id, claim.value)
+            is Claim.Repeat -> claim.value
+            else -> "not run"
+        }
+
+    /** Says what became of [id]; one that did not run never will, so the answer stays true. */
+    fun query(id: CallId): RunState = runs.fence(id, includeQueued = true).state
+
+    private fun pay(
+        id: CallId,
+        receipt: String,
+    ): String {
+        runs.start(id, attempt = 1)
+        paymentCount += 1
+        runs.end(id, attempt = 1, mayRepeat = false)
+        return receipt
+    }
+}
+
+/** Makes a payment whose reply is lost, finds out what became of it, and returns how often it was made. */
+suspend fun payOnce(): Int {
+    val table = memoryTableStore()
+    val runner = PaymentRunner()
+    val id = CallId("payment-7")
+    if (!recordIntent(table, id)) return 0
+
+    runner.run(id) // The reply is lost here, so the caller asks instead of sending a second payment.
+    val state = runner.query(id)
+    if (state == RunState.NOT_RUN) runner.run(CallId("payment-7-again"))
+    return runner.paymentCount
+}
+
+/** Makes it durable that the payment may leave, so that whoever takes over asks the runner about it. */
+private suspend fun recordIntent(
+    table: TableStore,
+    id: CallId,
+): Boolean {
+    val key = "intent/${id.value}"
+    val transaction = Transaction(listOf(Condition(key, Condition.ABSENT)), listOf(RowWrite(key, "sent to runner-1")))
+    return table.transact(transaction).isRight()
+}
