--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/GatewayControlPlane.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/GatewayControlPlane.kt
@@ -68,8 +68,8 @@
         ControlMetrics.register(metrics, parts)
         parts.fleet.readVmList()
         acquireLease()
-        jobs += scope.launch { renewRepeatedly() }
-        jobs += scope.launch { parts.journal.run() }
+        repeatEach(Duration.ZERO) { renewWhenDue() }
+        repeatEach(defectPause) { parts.journal.run() }
         repeatEach(config.pollInterval) { parts.head.poll() }
         repeatEach(config.pollInterval) { parts.prober.probe() }
         repeatEach(config.renewInterval) { watchFleet() }
@@ -126,11 +126,9 @@
         return Done
     }
 
-    private suspend fun renewRepeatedly() {
-        while (true) {
-            withTimeoutOrNull(config.renewInterval / 2) { parts.renewals.receive() }
-            if (parts.lease.record == null && !isStopping) acquireLease() else renew { it }
-        }
+    private suspend fun renewWhenDue() {
+        withTimeoutOrNull(config.renewInterval / 2) { parts.renewals.receive() }
+        if (parts.lease.record == null && !isStopping) acquireLease() else renew { it }
     }
 
     private suspend fun renew(change: (LeaseRecord) -> LeaseRecord) {
@@ -195,6 +193,7 @@
     private companion object {
         val vmListInterval = 1.seconds
         val rightsInterval = 1.seconds
+        val defectPause = 100.milliseconds
         val flushCheckInterval = 10.milliseconds
     }
 }
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/GroupJournal.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/GroupJournal.kt
@@ -78,8 +78,8 @@
     /** Commits groups until cancelled. */
     suspend fun run() {
         while (true) {
-            signal.receive()
             while (commitNextGroup()) delay(groupSpacing)
+            signal.receive()
         }
     }
 
