--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/experiment/ExperimentPage.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/experiment/ExperimentPage.kt
@@ -15,7 +15,8 @@
                 "Seeds ${result.seeds.joinToString()}. Each cell shows the median over the seeds and, in brackets,",
             )
             appendLine("the lowest and the highest. Programs that failed count with their deadline. Accounts that send")
-            appendLine("more than their rate are left out of program latency, failures and the worst account.")
+            appendLine("more than their rate are left out of program latency, failures, the worst account and")
+            appendLine("wrongful refusals.")
             appendLine()
             appendRow(listOf("measure") + result.arms.map(Arm::name))
             appendRow(List(result.arms.size + 1) { "---" })
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/load/LoadResult.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/load/LoadResult.kt
@@ -9,6 +9,9 @@
  * @property worstP95Ms the highest p95 of an account inside its rate
  * @property medianP95Ms the median of these accounts' p95
  * @property worstShareRatio the lowest share, against its fair share, of an account inside its rate
+ * @property requestsInsideRate requests of the accounts inside their rate that their rate and burst allow
+ * @property wrongfulRefusals refusals of such requests; an account that sends more than its rate is left out, since
+ * each refusal that leaves some of its rate unused would count
  * @property duplicateEffects effects that a tool ran more than once
  */
 @Serializable
