Read the table stand-in's scan and conflict at a glance

Cause: the formatter had broken two expressions over many lines. Ruled out: any change of behaviour; both specs of the table stay as they were. Change: the scan starts at the larger of prefix and last key, conflicts return early.

--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/platform/TableRows.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/platform/TableRows.kt
@@ -23,16 +23,11 @@
         limit: Int,
     ): RowPage =
         synchronized(lock) {
-            val following =
-                if (afterKey ==
-                    null
-                ) {
-                    rows.tailMap(prefix, true)
-                } else {
-                    rows.tailMap(maxOf(prefix, afterKey), true)
-                }
+            val first = maxOf(prefix, afterKey ?: prefix)
             val matching =
-                following.values
+                rows
+                    .tailMap(first, true)
+                    .values
                     .asSequence()
                     .takeWhile { it.key.startsWith(prefix) }
                     .filter { afterKey == null || it.key > afterKey }
@@ -44,13 +39,8 @@
     fun transact(transaction: Transaction): Either<TableConflict, List<Row>> =
         synchronized(lock) {
             val failed = transaction.conditions.filterNot(::holds).map(Condition::key)
-            if (failed.isEmpty()) {
-                apply(
-                    transaction,
-                ).right()
-            } else {
-                TableConflict(failed, failed.mapNotNull(rows::get)).left()
-            }
+            if (failed.isNotEmpty()) return TableConflict(failed, failed.mapNotNull(rows::get)).left()
+            apply(transaction).right()
         }
 
     private fun holds(condition: Condition): Boolean {
