--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/fleet/Fleet.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/fleet/Fleet.kt
@@ -1,12 +1,10 @@
 package org.chestnutloom.integration.fleet
 
-import kotlinx.collections.immutable.toImmutableList
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import org.chestnutloom.fakes.launch.LaunchedProcess
 import org.chestnutloom.fakes.launch.ProcessLauncher
-import org.chestnutloom.fakes.launch.ProcessSpec
 import org.chestnutloom.fakes.launch.processLauncher
 import org.chestnutloom.fakes.launch.standInProcess
 import org.chestnutloom.integration.caller.CallerClient
@@ -29,6 +27,7 @@
 
     private val launcher: ProcessLauncher = processLauncher(directory)
     private val ports = PortAllocator()
+    private val specs = ProcessSpecs(options)
 
     /** The HTTP client that callers, checks and fault switches share. */
     val caller = CallerClient()
@@ -91,14 +90,15 @@
 
     /** Starts the sidecar of [target] anew, at the same port. */
     suspend fun restartSidecar(target: TargetProcess): LaunchedProcess {
-        target.sidecar = launcher.start(sidecarSpec(target))
+        target.sidecar = launcher.start(specs.sidecar(target))
         target.sidecar.awaitListening()
         return target.sidecar
     }
 
     /** Starts the engine or plain service of [target] anew, at the same port. */
     suspend fun restartTarget(target: TargetProcess) {
-        target.process = launcher.start(targetSpec(target.name, target.isEngine, target.targetPort, target.logFile))
+        target.process =
+            launcher.start(specs.target(target.name, target.isEngine, target.targetPort, target.logFile, objects.url))
         target.process.awaitListening()
     }
 
@@ -152,67 +152,17 @@
     ): TargetProcess {
         val port = ports.next()
         val logFile = directory.resolve("$name-requests.log").toString()
-        val process = launcher.start(targetSpec(name, isEngine, port, logFile))
+        val process = launcher.start(specs.target(name, isEngine, port, logFile, objects.url))
         process.awaitListening()
         val seenPort = proxied("$name-target", port)
         val linkPort = ports.next()
         val target = TargetProcess(name, isEngine, port, logFile, "http://$HOST:$seenPort", linkPort, process)
-        target.sidecar = launcher.start(sidecarSpec(target))
+        target.sidecar = launcher.start(specs.sidecar(target))
         target.sidecar.awaitListening()
         listVm(name, VmRole.TARGET, proxied("$name-link", linkPort), VmState.LIVE)
         return target
     }
 
-    private fun targetSpec(
-        name: String,
-        isEngine: Boolean,
-        port: Int,
-        logFile: String,
-    ): ProcessSpec {
-        val common = listOf("--port", port.toString(), "--log-file", logFile)
-        if (!isEngine) return standInProcess(name, "tool", *common.toTypedArray())
-        val engine =
-            listOf(
-                "--decode-ms-per-step",
-                options.decodeMsPerStep.toInt().toString(),
-                "--verifies-orders",
-                options.verifyOrders.toString(),
-                "--object-url",
-                objects.url,
-            ) + options.engineArguments
-        return standInProcess(name, "engine", *(common + engine).toTypedArray())
-    }
-
-    private fun sidecarSpec(target: TargetProcess): ProcessSpec {
-        val served =
-            if (target.isEngine) listOf("--models", TEST_MODEL) else listOf("--services", "$TEST_SERVICE,$OPEN_SERVICE")
-        val arguments =
-            listOf(
-                "sidecar",
-                "--target",
-                target.name,
-                "--environment",
-                ENVIRONMENT,
-                "--failure-domain",
-                FAILURE_DOMAIN,
-                "--link-host",
-                HOST,
-                "--link-port",
-                target.linkPort.toString(),
-                "--admin-host",
-                HOST,
-                "--admin-port",
-                "0",
-                "--kind",
-                if (target.isEngine) "model" else "tool",
-                "--target-url",
-                target.url,
-                "--max-running",
-                options.maxRunning.toString(),
-            ) + served + disabledArguments() + options.sidecarArguments
-        return daemonSpec("sidecar-${target.name}", arguments)
-    }
-
     private suspend fun startGateways() =
         coroutineScope {
             val started = (0 until options.gateways).map { async { launchGateway(it, emptyList()) } }.awaitAll()
@@ -231,64 +181,22 @@
         val seenPort = proxied("$name-link", linkPort)
         listVm(name, VmRole.GATEWAY, seenPort, VmState.LIVE)
         val arguments =
-            gatewayArguments(name, httpPort, linkPort, seenPort) + disabledArguments() + options.gatewayArguments +
-                extra
-        val process = launcher.start(daemonSpec(name, arguments))
+            flags(
+                "http-port" to httpPort,
+                "link-port" to linkPort,
+                "advertised-port" to seenPort,
+                "table-url" to "http://$HOST:${proxied("$name-table", table.port)}",
+                "object-url" to "http://$HOST:${proxied("$name-objects", objects.port)}",
+                "vm-list-url" to vms.url,
+            )
+        val process = launcher.start(specs.gateway(name, arguments + extra))
         val line = process.awaitListening()
         val callerPort = proxied("$name-http", httpPort)
         return GatewayProcess(name, process, linkPort, httpPort, callerPort, line.port("admin_port"))
     }
 
-    private suspend fun gatewayArguments(
-        name: String,
-        httpPort: Int,
-        linkPort: Int,
-        seenPort: Int,
-    ): List<String> =
-        listOf(
-            "gateway",
-            "--id",
-            name,
-            "--environment",
-            ENVIRONMENT,
-            "--failure-domain",
-            FAILURE_DOMAIN,
-            "--http-host",
-            HOST,
-            "--http-port",
-            httpPort.toString(),
-            "--link-host",
-            HOST,
-            "--link-port",
-            linkPort.toString(),
-            "--advertised-host",
-            HOST,
-            "--advertised-port",
-            seenPort.toString(),
-            "--admin-host",
-            HOST,
-            "--admin-port",
-            "0",
-            "--table-url",
-            "http://$HOST:${proxied("$name-table", table.port)}",
-            "--object-url",
-            "http://$HOST:${proxied("$name-objects", objects.port)}",
-            "--vm-list-url",
-            vms.url,
-            "--lease-ms",
-            options.leaseMs.toString(),
-        )
-
     private fun environmentArguments(): List<String> =
-        listOf("--table-url", table.url, "--object-url", objects.url, "--vm-list-url", vms.url)
-
-    private fun disabledArguments(): List<String> =
-        if (options.disabled.isEmpty()) emptyList() else listOf("--unsafe-disable", options.disabled.joinToString(","))
-
-    private fun daemonSpec(
-        name: String,
-        arguments: List<String>,
-    ) = ProcessSpec(name, DAEMON_MAIN, arguments.toImmutableList())
+        flags("table-url" to table.url, "object-url" to objects.url, "vm-list-url" to vms.url)
 
     /** Returns the port through which others reach [port]: a proxy link's if the fleet is proxied, else itself. */
     private suspend fun proxied(
@@ -313,7 +221,7 @@
         /** The IP number of every process. */
         const val HOST: String = "127.0.0.1"
 
-        private const val FAILURE_DOMAIN = "siracusa"
-        private const val DAEMON_MAIN = "org.chestnutloom.daemon.MainKt"
+        /** The failure domain of every process. */
+        const val FAILURE_DOMAIN: String = "siracusa"
     }
 }
