--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/benchmark/StateSlopes.kt
@@ -0,0 +1,126 @@
+package org.chestnutloom.integration.benchmark
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import org.chestnutloom.config.documentDecoder
+import org.chestnutloom.id.GatewayId
+import org.chestnutloom.id.Incarnation
+import org.chestnutloom.id.ModelName
+import org.chestnutloom.id.ProgramId
+import org.chestnutloom.id.TargetId
+import org.chestnutloom.integration.fleet.AccountOptions
+import org.chestnutloom.integration.fleet.FleetOptions
+import org.chestnutloom.integration.fleet.fleetDocument
+import org.chestnutloom.rate.RateLimit
+import org.chestnutloom.rate.RightsHolder
+import org.chestnutloom.rate.heldRights
+import org.chestnutloom.route.RouteQuery
+import org.chestnutloom.route.RoutingPolicyKind
+import org.chestnutloom.route.TargetView
+import org.chestnutloom.route.routingPolicy
+import org.chestnutloom.time.systemClock
+import org.chestnutloom.wire.message.LoadReport
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.measureTime
+
+/** Measures how state, messages and decisions grow with accounts, programs and targets, in this process. */
+class StateSlopes {
+    /** Prints one line for each size. */
+    fun run() {
+        listOf(1_000, 9_000, 27_000).forEach(::accounts)
+        listOf(10, 80, 800).forEach(::loadReport)
+        listOf(8, 80, 750).forEach(::routing)
+    }
+
+    private fun accounts(count: Int) {
+        val options = FleetOptions(accounts = List(count) { AccountOptions("account-$it") })
+        val document = fleetDocument(options)
+        repeat(WARM_UPS) { documentDecoder().decode(document) }
+        val before = usedBytes()
+        val settings = documentDecoder().decode(document)
+        val settingsBytes = usedBytes() - before
+        val duration = measureTime { documentDecoder().decode(document) }
+        val rights = List(count) { heldRights(systemClock(), holder, RateLimit(RATE, BURST)) }
+        val rightsBytes = usedBytes() - before - settingsBytes
+        println(
+            "result=accounts count=$count document_bytes=${document.length} " +
+                "decode_ms=${duration.inWholeMilliseconds} " +
+                "settings_bytes=$settingsBytes rights_bytes=$rightsBytes " +
+                "kept=${settings.isRight() && rights.isNotEmpty()}",
+        )
+    }
+
+    @OptIn(ExperimentalSerializationApi::class)
+    private fun loadReport(programs: Int) {
+        val cached = (0 until programs).associate { ProgramId("c-5c4d683ec454bbb82181dcecd7284484$it") to it.toLong() }
+        val report =
+            LoadReport(
+                queuedCalls = 4,
+                queuedTokens = 40_000,
+                runningCalls = 8,
+                maxRunningCalls = 8,
+                expectedWaitMs = 120,
+                prefillTokensPerSecond = 9_000.0,
+                models = listOf(ModelName("rattan-8b")),
+                services = emptyList(),
+                cachedPrograms = cached,
+                inFlightHashes = emptyList(),
+                crashedHashes = emptyList(),
+                draining = false,
+                targetReachable = true,
+            )
+        println(
+            "result=load_report cached_programs=$programs bytes=${Cbor.encodeToByteArray(
+                LoadReport.serializer(),
+                report,
+            ).size}",
+        )
+    }
+
+    private fun routing(targets: Int) {
+        val random = Random(SEED)
+        val views = List(targets) { view(it, random) }
+        val policy = routingPolicy(RoutingPolicyKind.COST, random)
+        val query = RouteQuery(promptTokens = 20_000, failureDomain = "siracusa")
+        repeat(DECISIONS) { policy.choose(query, views) }
+        val duration = measureTime { repeat(DECISIONS) { policy.choose(query, views) } }
+        println(
+            "result=routing targets=$targets microseconds_per_decision=%.2f".format(
+                duration / DECISIONS / 1.milliseconds * US_PER_MS,
+            ),
+        )
+    }
+
+    private fun view(
+        index: Int,
+        random: Random,
+    ) = TargetView(
+        id = TargetId("engine-$index"),
+        failureDomain = if (index % 2 == 0) "siracusa" else "catania",
+        expectedWaitMs = random.nextLong(MAX_WAIT_MS),
+        callsInFlight = random.nextInt(8),
+        maxRunningCalls = 8,
+        sentSince = 0,
+        sentTokensSince = 0,
+        prefillTokensPerSecond = 9_000.0,
+        cachedTokens = if (random.nextInt(8) == 0) 20_000L else 0L,
+    )
+
+    private fun usedBytes(): Long {
+        repeat(COLLECTIONS) { System.gc() }
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()
+    }
+
+    private companion object {
+        val holder = RightsHolder(GatewayId("gateway-1"), Incarnation("run"))
+        const val RATE = 5.0
+        const val BURST = 10
+        const val SEED = 1
+        const val WARM_UPS = 3
+        const val COLLECTIONS = 3
+        const val DECISIONS = 20_000
+        const val MAX_WAIT_MS = 5_000L
+        const val US_PER_MS = 1_000.0
+    }
+}
