Ask on for rate rights when a holder gave all that it was asked for

Cause: 2 of 12 streams of an account inside its rate were refused in the planned-stop proof. While a gateway waited for tokens for four requests, two more came; the answer covered four, and the shortfall was read as "the holders have no more".

Ruled out: the length of loans (the refusals came after half a second, before the attempts were used up) and the stop itself (they came a second before it).

Change: only an answer below what was asked counts as having no more.

Admission, control plane and turn specifications pass.

--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/BorrowOutcome.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/BorrowOutcome.kt
@@ -8,6 +8,6 @@
     /** Every holder said that it has no tokens to spare. */
     LACKING,
 
-    /** A holder did not say how much it has, so there may be tokens. */
+    /** A holder did not answer, or gave all that it was asked for, so there may be more tokens. */
     UNANSWERED,
 }
--- a/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/TokenBorrower.kt
+++ b/chestnutloom-gateway/src/main/kotlin/org/chestnutloom/gateway/control/TokenBorrower.kt
@@ -59,7 +59,7 @@
 
     private fun isSilent(lender: GatewayId): Boolean = (silentUntil[lender] ?: Duration.ZERO) > clock.elapsed()
 
-    /** Asks [lender], and tells whether it answered for certain how much it can spare. */
+    /** Asks [lender], and tells whether it answered for certain that it can spare no more. */
     private suspend fun ask(
         rights: AccountRights,
         lender: GatewayId,
@@ -77,7 +77,7 @@
         if (reply == null) silentUntil[lender] = clock.elapsed() + silencePause
         if (reply !is RightsMoved || reply.account != rights.account) return false
         rights.held.borrow(reply.milliTokens, askedAt + terms.borrowerValidity)
-        return reply.isCertain
+        return reply.isCertain && reply.milliTokens < request.wantedMilliTokens
     }
 
     private companion object {
