--- a/chestnutloom-gateway/src/test/kotlin/org/chestnutloom/gateway/control/EscrowAdmissionSpec.kt
+++ b/chestnutloom-gateway/src/test/kotlin/org/chestnutloom/gateway/control/EscrowAdmissionSpec.kt
@@ -5,6 +5,8 @@
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
@@ -45,6 +47,16 @@
     }
 }
 
+private suspend fun admitAfter(
+    gateway: TestGateway,
+    wait: Duration,
+): Boolean {
+    delay(wait)
+    return gateway.plane.admission
+        .admit(account)
+        .isRight()
+}
+
 /** Counts admissions that a single bucket for the whole fleet had refused. */
 private class IdealBucket(
     private val test: TestScope,
@@ -101,6 +113,16 @@
                 }
             }
 
+            it("admits requests inside the rate that come while the gateway asks another one for rights") {
+                inFleet { fleet ->
+                    val first = fleet.startReady("g1")
+                    val second = fleet.startReady("g2")
+                    first.plane.admission.admit(account)
+                    val requests = List(BURST - 2) { index -> async { admitAfter(second, index.milliseconds) } }
+                    requests.awaitAll().count { it } shouldBe BURST - 2
+                }
+            }
+
             it("admits no more than rate and burst while gateways die, restart and are cut, and the store is down") {
                 for (seed in 1..8) {
                     inFleet { fleet ->
