Read only the start of a very long log line in the rig

A warning with a whole rights row in quotes made the expression for key=value pairs recurse with the length of the value.

Ruled out: the product; the trace is the launcher's reading of a log line.

Change: at most 500 characters of a line are read, and runs of plain characters are matched without recursion.

--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/launch/EventLine.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/launch/EventLine.kt
@@ -19,12 +19,21 @@
     public fun port(name: String = "port"): Int = fields.getValue(name).toInt()
 
     public companion object {
-        private val PAIR = Regex("""(?<=^|\s)([A-Za-z_][\w.]*)=("(?:[^"\\]|\\.)*"|[^\s"]*)""")
+        private val PAIR = Regex("""(?<=^|\s)([A-Za-z_][\w.]*)=("(?:[^"\\]++|\\.)*"|[^\s"]*)""")
         private val ESCAPED = Regex("""\\(.)""")
 
+        // Matching quoted values recurses with their length, so only the start of a very long line is read.
+        private const val MAX_CHARACTERS = 500
+
         /** Reads the pairs of [line]; a prefix without pairs is left out. */
         public fun parse(line: String): EventLine =
-            EventLine(PAIR.findAll(line).associate { it.groupValues[1] to plain(it.groupValues[2]) }.toImmutableMap())
+            EventLine(
+                PAIR
+                    .findAll(line.take(MAX_CHARACTERS))
+                    .associate {
+                        it.groupValues[1] to plain(it.groupValues[2])
+                    }.toImmutableMap(),
+            )
 
         private fun plain(value: String): String {
             if (!value.startsWith('"')) return value
