--- a/chestnutloom-integration-tests/src/main/kotlin/Probe.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.chestnutloom
-
-internal object Probe
