Build the body of a plain completion in one place of the rig

Cause: four callers took the request out of a turn's body with a cast and sent it to the completions path by hand; the reader of log lines was hard to read.

Weighed: the rate proof builds its body before it takes the time, as before, so that the interval it checks stays the same.

Change: completionBody and CallerClient.complete serve the drain, rate and withdrawn-key proofs and the hop benchmark; EventLine.plain has short steps.

--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/launch/EventLine.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/launch/EventLine.kt
@@ -26,26 +26,16 @@
         private const val MAX_CHARACTERS = 500
 
         /** Reads the pairs of [line]; a prefix without pairs is left out. */
-        public fun parse(line: String): EventLine =
-            EventLine(
-                PAIR
-                    .findAll(line.take(MAX_CHARACTERS))
-                    .associate {
-                        it.groupValues[1] to plain(it.groupValues[2])
-                    }.toImmutableMap(),
-            )
+        public fun parse(line: String): EventLine {
+            val pairs = PAIR.findAll(line.take(MAX_CHARACTERS))
+            return EventLine(pairs.associate { it.groupValues[1] to plain(it.groupValues[2]) }.toImmutableMap())
+        }
 
         private fun plain(value: String): String {
             if (!value.startsWith('"')) return value
-            return ESCAPED.replace(value.removeSurrounding("\"")) {
-                if (it.groupValues[1] ==
-                    "n"
-                ) {
-                    "\n"
-                } else {
-                    it.groupValues[1]
-                }
-            }
+            return ESCAPED.replace(value.removeSurrounding("\"")) { unescaped(it.groupValues[1]) }
         }
+
+        private fun unescaped(character: String): String = if (character == "n") "\n" else character
     }
 }
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/benchmark/HopBenchmark.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/benchmark/HopBenchmark.kt
@@ -1,16 +1,15 @@
 package org.chestnutloom.integration.benchmark
 
-import io.ktor.http.HttpMethod
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
-import kotlinx.serialization.json.JsonObject
 import org.HdrHistogram.Histogram
 import org.chestnutloom.integration.caller.CallerAnswer
 import org.chestnutloom.integration.fleet.AccountOptions
 import org.chestnutloom.integration.fleet.Fleet
 import org.chestnutloom.integration.fleet.FleetOptions
-import org.chestnutloom.integration.program.ProgramDriver
+import org.chestnutloom.integration.program.complete
+import org.chestnutloom.integration.program.completionBody
 
 /** Compares calls through gateway and sidecar with the same calls straight to the engine, alternating in one run. */
 class HopBenchmark {
@@ -68,10 +67,7 @@
         fleet: Fleet,
         url: String,
         key: String?,
-    ): CallerAnswer {
-        val request = ProgramDriver.modelBody("benchmark", TOKENS, stream = true).getValue("request") as JsonObject
-        return fleet.caller.send(url, HttpMethod.Post, "/v1/chat/completions", key, request)
-    }
+    ): CallerAnswer = fleet.caller.complete(url, key, completionBody("benchmark", TOKENS, stream = true))
 
     private suspend fun measureThroughput(
         fleet: Fleet,
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/program/ProgramDriver.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/program/ProgramDriver.kt
@@ -3,13 +3,11 @@
 import io.ktor.http.HttpMethod
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.buildJsonArray
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonObject
 import org.chestnutloom.integration.caller.CallerAnswer
 import org.chestnutloom.integration.caller.CallerClient
-import org.chestnutloom.integration.fleet.TEST_MODEL
 import org.chestnutloom.integration.fleet.TEST_SERVICE
 
 /**
@@ -158,22 +156,7 @@
         ): JsonObject =
             buildJsonObject {
                 put("kind", "model")
-                putJsonObject("request") {
-                    put("model", TEST_MODEL)
-                    put("stream", stream)
-                    put("max_tokens", maxTokens)
-                    put(
-                        "messages",
-                        buildJsonArray {
-                            add(
-                                buildJsonObject {
-                                    put("role", "user")
-                                    put("content", message)
-                                },
-                            )
-                        },
-                    )
-                }
+                put("request", completionBody(message, maxTokens, stream))
             }
 
         /** Returns the body of a tool turn whose effect is called [effect]. */
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/DrainProof.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/DrainProof.kt
@@ -1,15 +1,14 @@
 package org.chestnutloom.integration.proof
 
-import io.ktor.http.HttpMethod
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.serialization.json.JsonObject
 import org.chestnutloom.integration.caller.CallerAnswer
 import org.chestnutloom.integration.fleet.Fleet
 import org.chestnutloom.integration.fleet.FleetOptions
-import org.chestnutloom.integration.program.ProgramDriver
+import org.chestnutloom.integration.program.complete
+import org.chestnutloom.integration.program.completionBody
 import org.chestnutloom.mechanism.Mechanism
 import org.chestnutloom.store.VmRole
 import org.chestnutloom.store.VmState
@@ -60,9 +59,9 @@
         key: String,
         number: Int,
     ): CallerAnswer {
-        val request = ProgramDriver.modelBody("drain $number", TOKENS, stream = false).getValue("request") as JsonObject
+        val body = completionBody("drain $number", TOKENS, stream = false)
         val urls = fleet.gatewayUrls
-        return fleet.caller.send(urls[number % urls.size], HttpMethod.Post, "/v1/chat/completions", key, request)
+        return fleet.caller.complete(urls[number % urls.size], key, body)
     }
 
     private companion object {
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/RateProof.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/RateProof.kt
@@ -1,15 +1,14 @@
 package org.chestnutloom.integration.proof
 
-import io.ktor.http.HttpMethod
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.serialization.json.JsonObject
 import org.chestnutloom.integration.caller.CallerAnswer
 import org.chestnutloom.integration.fleet.AccountOptions
 import org.chestnutloom.integration.fleet.Fleet
 import org.chestnutloom.integration.fleet.FleetOptions
-import org.chestnutloom.integration.program.ProgramDriver
+import org.chestnutloom.integration.program.complete
+import org.chestnutloom.integration.program.completionBody
 import org.chestnutloom.mechanism.Mechanism
 import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.random.Random
@@ -61,16 +60,9 @@
         number: Int,
     ): Sending {
         val urls = fleet.gatewayUrls
-        val request = ProgramDriver.modelBody("rate $number", 1, stream = false).getValue("request")
+        val body = completionBody("rate $number", maxTokens = 1, stream = false)
         val sentAtNanos = System.nanoTime()
-        val answer =
-            fleet.caller.send(
-                urls[number % urls.size],
-                HttpMethod.Post,
-                "/v1/chat/completions",
-                key,
-                request as JsonObject,
-            )
+        val answer = fleet.caller.complete(urls[number % urls.size], key, body)
         return Sending(sentAtNanos, System.nanoTime(), (answer as? CallerAnswer.Whole)?.status == OK)
     }
 
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/WithdrawnKeyProof.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/proof/WithdrawnKeyProof.kt
@@ -1,16 +1,15 @@
 package org.chestnutloom.integration.proof
 
-import io.ktor.http.HttpMethod
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
-import kotlinx.serialization.json.JsonObject
 import org.chestnutloom.integration.fleet.Fleet
 import org.chestnutloom.integration.fleet.FleetOptions
-import org.chestnutloom.integration.program.ProgramDriver
+import org.chestnutloom.integration.program.complete
+import org.chestnutloom.integration.program.completionBody
 import org.chestnutloom.mechanism.Mechanism
 import kotlin.random.Random
 
@@ -74,10 +73,7 @@
     ) = coroutineScope {
         while (isActive) {
             launch {
-                val request = ProgramDriver.modelBody(MARK, TOKENS, stream = true).getValue("request")
-                val url = fleet.gatewayUrls[gateway]
-                val body = request as JsonObject
-                fleet.caller.send(url, HttpMethod.Post, "/v1/chat/completions", key, body)
+                fleet.caller.complete(fleet.gatewayUrls[gateway], key, completionBody(MARK, TOKENS, stream = true))
             }
             delay(SEND_INTERVAL_MS)
         }
