Serve routed requests on the users' platform by a new edge gateway

Cause: the product had no gateway for requests with opaque bodies, and no client of the platform's store. Ruled out: Ktor's client towards targets, which hides the connection that an answer came on; Netty's HTTP codecs show it.

--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/Launch.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/Launch.kt
@@ -5,7 +5,7 @@
 /**
  * What the command line asks to run.
  *
- * @property role `gateway` or `sidecar`
+ * @property role `gateway`, `sidecar` or `edge`
  * @property id the gateway id or target id
  */
 internal class Launch(
--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/LaunchParser.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/LaunchParser.kt
@@ -7,10 +7,13 @@
 import kotlinx.collections.immutable.ImmutableList
 import kotlinx.collections.immutable.persistentListOf
 import org.chestnutloom.daemon.settings.common
+import org.chestnutloom.daemon.settings.edgeFlags
+import org.chestnutloom.daemon.settings.edgeSettings
 import org.chestnutloom.daemon.settings.gatewayFlags
 import org.chestnutloom.daemon.settings.gatewaySettings
 import org.chestnutloom.daemon.settings.sidecarFlags
 import org.chestnutloom.daemon.settings.sidecarSettings
+import org.chestnutloom.edge.EdgeSettings
 import org.chestnutloom.gateway.GatewaySettings
 import org.chestnutloom.platform.flag.Flag
 import org.chestnutloom.platform.flag.FlagParser
@@ -22,6 +25,7 @@
 internal class LaunchParser(
     private val gatewayFactory: (GatewaySettings) -> NodeFactory,
     private val sidecarFactory: (SidecarSettings) -> NodeFactory,
+    private val edgeFactory: (EdgeSettings) -> NodeFactory,
 ) {
     fun parse(
         args: List<String>,
@@ -29,10 +33,11 @@
     ): Either<ImmutableList<UsageFault>, Launch> =
         when (args.firstOrNull()) {
             GATEWAY -> read(GATEWAY, gatewayFlags, args.drop(1), environment) { gatewayLaunch(it) }
+            EDGE -> read(EDGE, edgeFlags, args.drop(1), environment) { edgeLaunch(it) }
             SIDECAR -> read(SIDECAR, sidecarFlags, args.drop(1), environment) { sidecarLaunch(it) }
             else ->
                 persistentListOf(
-                    UsageFault("chestnutloomd", "the first argument must be gateway or sidecar"),
+                    UsageFault("chestnutloomd", "the first argument must be gateway, sidecar or edge"),
                 ).left()
         }
 
@@ -59,7 +64,13 @@
         return Launch(SIDECAR, settings.target.value, reader.common(), sidecarFactory(settings))
     }
 
+    private fun edgeLaunch(reader: FlagReader): Launch {
+        val settings = reader.edgeSettings()
+        return Launch(EDGE, settings.self.gateway.value, reader.common(), edgeFactory(settings))
+    }
+
     private companion object {
+        private const val EDGE = "edge"
         private const val GATEWAY = "gateway"
         private const val SIDECAR = "sidecar"
     }
--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/Main.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/Main.kt
@@ -1,9 +1,11 @@
 package org.chestnutloom.daemon
 
+import org.chestnutloom.adapter.platformAdapter
+import org.chestnutloom.edge.edgeNode
 import org.chestnutloom.gateway.gateway
 import org.chestnutloom.sidecar.sidecar
 
-/** Runs a gateway or a sidecar until the process gets SIGTERM. */
+/** Runs a gateway, a sidecar or an edge gateway until the process gets SIGTERM. */
 public fun main(args: Array<String>) {
     val parser =
         LaunchParser(
@@ -27,6 +29,16 @@
                     sidecar(settings, clock, metrics, tracer, scope)
                 }
             },
+            { settings ->
+                NodeFactory {
+                    clock,
+                    metrics,
+                    _,
+                    _,
+                    ->
+                    edgeNode(settings, platformAdapter(), clock, metrics)
+                }
+            },
         )
     runDaemon(parser, args.asList())
 }
--- a/chestnutloom-daemon/src/test/kotlin/org/chestnutloom/daemon/LaunchParserSpec.kt
+++ b/chestnutloom-daemon/src/test/kotlin/org/chestnutloom/daemon/LaunchParserSpec.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import org.chestnutloom.edge.EdgeSettings
 import org.chestnutloom.gateway.GatewaySettings
 import org.chestnutloom.mechanism.Mechanism
 import org.chestnutloom.platform.node.Node
@@ -26,10 +27,12 @@
     DescribeSpec({
         var gateway: GatewaySettings? = null
         var sidecar: SidecarSettings? = null
+        var edge: EdgeSettings? = null
         val parser =
             LaunchParser(
                 { settings -> NodeFactory { _, _, _, _ -> IdleNode }.also { gateway = settings } },
                 { settings -> NodeFactory { _, _, _, _ -> IdleNode }.also { sidecar = settings } },
+                { settings -> NodeFactory { _, _, _, _ -> IdleNode }.also { edge = settings } },
             )
         val urls = "--table-url http://127.0.0.1:1 --object-url=http://127.0.0.1:2 --vm-list-url http://127.0.0.1:3"
         val places = "--environment trial --failure-domain osborne-park --link-host 127.0.0.1 --link-port 0"
@@ -93,6 +96,26 @@
             }
         }
 
+        describe("the settings of an edge gateway") {
+            val line = "edge --id e1 --failure-domain siracusa --link-host 10.1.0.11 --link-port 7780"
+
+            it("name where it listens and where the store is") {
+                val addresses =
+                    "--caller-address 10.1.0.11:8368 --health-address 10.1.0.11:8369 --store-address 10.2.0.1:8362"
+                parse("$line $addresses --grace-s 6.5").isRight() shouldBe true
+                val settings = edge.shouldNotBeNull()
+                settings.callers shouldBe PeerAddress("10.1.0.11", 8368)
+                settings.store shouldBe PeerAddress("10.2.0.1", 8362)
+                settings.grace shouldBe 6_500.milliseconds
+                settings.self.failureDomain shouldBe "siracusa"
+            }
+
+            it("have all faults listed at once") {
+                subjects("$line --caller-address nowhere --health-address 10.1.0.11:1 --row-bytes 1") shouldBe
+                    listOf("--caller-address", "--store-address", "--row-bytes")
+            }
+        }
+
         describe("another role") {
             it("is a fault") {
                 subjects("balancer") shouldBe listOf("chestnutloomd")
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -0,0 +1,158 @@
+package org.chestnutloom.edge
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.MeterRegistry
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import org.chestnutloom.edge.budget.BudgetKeeper
+import org.chestnutloom.edge.call.AnswerRelay
+import org.chestnutloom.edge.call.CallDispatcher
+import org.chestnutloom.edge.call.CallService
+import org.chestnutloom.edge.call.TargetAttempts
+import org.chestnutloom.edge.codec.CborCodec
+import org.chestnutloom.edge.config.ConfigurationHolder
+import org.chestnutloom.edge.config.RequestLimits
+import org.chestnutloom.edge.feed.ConfigurationListener
+import org.chestnutloom.edge.feed.MemberListener
+import org.chestnutloom.edge.feed.TableListener
+import org.chestnutloom.edge.feed.TableWatcher
+import org.chestnutloom.edge.feed.TargetListener
+import org.chestnutloom.edge.fleet.Fleet
+import org.chestnutloom.edge.fleet.Member
+import org.chestnutloom.edge.fleet.Registration
+import org.chestnutloom.edge.http.CallerHandler
+import org.chestnutloom.edge.http.ConnectionPool
+import org.chestnutloom.edge.http.EdgeLoop
+import org.chestnutloom.edge.http.HttpConnector
+import org.chestnutloom.edge.http.IngressLimits
+import org.chestnutloom.edge.http.IngressServer
+import org.chestnutloom.edge.quota.AccountQuotas
+import org.chestnutloom.edge.target.TargetDirectory
+import org.chestnutloom.edge.target.TargetFactory
+import org.chestnutloom.edge.target.TargetScheduler
+import org.chestnutloom.edge.turn.TurnStore
+import org.chestnutloom.platform.log.event
+import org.chestnutloom.platform.node.Node
+import org.chestnutloom.platform.node.NodeEndpoints
+import org.chestnutloom.route.RoutingPolicyKind
+import org.chestnutloom.route.routingPolicy
+import org.chestnutloom.time.Clock
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Returns the gateway for routed requests with opaque bodies. */
+public fun edgeNode(
+    settings: EdgeSettings,
+    adapter: EdgeAdapter,
+    clock: Clock,
+    metrics: MeterRegistry,
+): Node = EdgeNode(settings, adapter, clock, metrics)
+
+private class EdgeNode(
+    private val settings: EdgeSettings,
+    private val adapter: EdgeAdapter,
+    private val clock: Clock,
+    metrics: MeterRegistry,
+) : Node {
+    private val loop = EdgeLoop()
+    private val connector = HttpConnector(loop, clock, CONNECT_TIMEOUT)
+    private val store = adapter.rowStore(ConnectionPool(settings.store, connector, clock, loop.scope))
+    private val memberCodec = CborCodec(Member.serializer())
+    private val configurations = ConfigurationHolder(clock)
+    private val targets = TargetDirectory(TargetFactory(connector, clock, loop.scope), ::cacheTokensOf)
+    private val scheduler =
+        TargetScheduler(targets, routingPolicy(RoutingPolicyKind.COST), settings.self.failureDomain, clock)
+    private val quotas = AccountQuotas(clock)
+    private val budgets = BudgetKeeper(store, settings.self.gateway, settings.self.incarnation)
+    private val turns = TurnStore(store, settings.rowBytes)
+    private val exchangeOfBeats = BeatExchange(settings.self, configurations, quotas, targets, scheduler)
+    private val fleet = Fleet(settings.self, loop, clock, exchangeOfBeats, exchangeOfBeats)
+    private val limits = IngressLimits { configurations.current?.limits ?: LIMITS_BEFORE_CONFIGURATION }
+    private val ingress = IngressServer(settings.callers, loop, callService(), limits, clock)
+    private val health = IngressServer(settings.health, loop, healthHandler(), limits, clock)
+    private var isStopping = false
+    private var callerPort: Int? = null
+
+    override val isReady: Boolean
+        get() = !isStopping && configurations.current != null && targets.isKnown
+
+    override val endpoints: NodeEndpoints
+        get() = NodeEndpoints(httpPort = callerPort, linkPort = settings.self.address.port)
+
+    override suspend fun start() {
+        exchangeOfBeats.fleet = fleet
+        configurations.onChange(quotas::configure)
+        health.start()
+        callerPort = ingress.start()
+        fleet.start()
+        loop.scope.launch { Registration(store, settings.self, memberCodec).register() }
+        watch(adapter.environment.configurationTable, ConfigurationListener(adapter.environment, configurations))
+        watch(adapter.environment.targetTable, TargetListener(adapter.environment, targets))
+        watch(Registration.TABLE, MemberListener(memberCodec, fleet))
+    }
+
+    override suspend fun stopGracefully() {
+        withContext(loop.scope.coroutineContext) { finish() }
+        loop.close()
+    }
+
+    private suspend fun finish() {
+        isStopping = true
+        ingress.beginStop()
+        val startedAt = clock.elapsed()
+        delay(BALANCER_DELAY)
+        while (ingress.isBusy && clock.elapsed() - startedAt < settings.grace - STOP_MARGIN) delay(STOP_POLL)
+        logger.event("ingress_closed", "busy" to ingress.isBusy)
+        ingress.stopListening()
+        fleet.stop()
+    }
+
+    private fun watch(
+        table: String,
+        listener: TableListener,
+    ) {
+        loop.scope.launch { TableWatcher(store, table, listener, clock).run() }
+    }
+
+    private fun callService(): CallService {
+        val attempts = TargetAttempts(adapter.calls, AnswerRelay(turns, clock), clock, loop.scope)
+        val dispatcher = CallDispatcher(scheduler, attempts, clock, loop.scope)
+        return CallService(configurations, adapter.calls, quotas, budgets, turns, dispatcher, clock, Random.Default)
+    }
+
+    private fun healthHandler() =
+        CallerHandler { _, exchange -> exchange.answer(if (isReady) OK else UNAVAILABLE, DefaultHttpHeaders(), EMPTY) }
+
+    private fun cacheTokensOf(service: String): Long =
+        configurations.current
+            ?.services
+            ?.get(service)
+            ?.engine
+            ?.cacheTokens ?: ASSUMED_CACHE_TOKENS
+
+    private companion object {
+        private val CONNECT_TIMEOUT = 400.milliseconds
+
+        /** The balancer takes a gateway out after two health checks, a second apart, have failed. */
+        private val BALANCER_DELAY = 2_600.milliseconds
+        private val STOP_MARGIN = 1.seconds
+        private val STOP_POLL = 20.milliseconds
+        private const val OK = 200
+        private const val UNAVAILABLE = 503
+        private const val ASSUMED_CACHE_TOKENS = 400_000L
+        private val EMPTY = ByteArray(0)
+        private val LIMITS_BEFORE_CONFIGURATION =
+            RequestLimits(
+                maxHeaderBytes = 16_384,
+                maxBodyBytes = 4 * 1024 * 1024,
+                headerTimeout = 3.seconds,
+                idleTimeout = Duration.parse("15s"),
+            )
+    }
+}
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/AnswerRelay.kt
@@ -0,0 +1,195 @@
+package org.chestnutloom.edge.call
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.edge.http.AnswerPart
+import org.chestnutloom.edge.http.HttpConnection
+import org.chestnutloom.edge.target.Target
+import org.chestnutloom.edge.turn.EventReader
+import org.chestnutloom.edge.turn.TurnRecord
+import org.chestnutloom.edge.turn.TurnStore
+import org.chestnutloom.platform.log.warnEvent
+import org.chestnutloom.time.Clock
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Passes targets' answers on to callers. */
+internal class AnswerRelay(
+    private val turns: TurnStore,
+    private val clock: Clock,
+) {
+    /** Reads an answer that is of no use, and returns whether it was read to its end. */
+    suspend fun skip(parts: ReceiveChannel<AnswerPart>): Boolean =
+        withTimeoutOrNull(SKIP_TIMEOUT) { collect(parts, MAX_SKIPPED_BYTES) } is Collected.Whole
+
+    /** Reads a whole answer before it passes it on, so that a broken one can be asked for again. */
+    suspend fun whole(
+        call: RoutedCall,
+        connection: HttpConnection,
+        head: AnswerHead,
+        parts: ReceiveChannel<AnswerPart>,
+    ): ReadResult {
+        val collected =
+            withTimeoutOrNull(call.deadline - clock.elapsed()) { collect(parts, MAX_COLLECTED_BYTES) }
+                ?: return ReadResult(AttemptResult.TimedOut, isClean = false)
+        return when (collected) {
+            is Collected.Whole -> {
+                call.exchange.answer(head.status, head.headers, collected.body)
+                ReadResult(AttemptResult.Answered(head.status, isWhole = true), isClean = true)
+            }
+            is Collected.TooLong -> passOnLong(call, connection, head, collected.body, parts)
+            is Collected.Broken -> ReadResult(AttemptResult.Lost(collected.cause), isClean = false)
+        }
+    }
+
+    /** Passes a stream on as it comes. */
+    suspend fun stream(
+        call: RoutedCall,
+        target: Target,
+        connection: HttpConnection,
+        head: AnswerHead,
+        parts: ReceiveChannel<AnswerPart>,
+    ): ReadResult {
+        val events = EventReader(collectsData = call.route.isRetained)
+        target.cache.add(call.head.prompt)
+        var isWhole = false
+        try {
+            isWhole = relayEvents(call, connection, head, parts, events)
+        } finally {
+            settle(call, events, isWhole)
+        }
+        if (isWhole) isWhole = keepTurn(call, target, events)
+        if (isWhole) call.exchange.finish() else call.exchange.abort()
+        return ReadResult(AttemptResult.Answered(head.status, isWhole), isClean = isWhole)
+    }
+
+    private suspend fun relayEvents(
+        call: RoutedCall,
+        connection: HttpConnection,
+        head: AnswerHead,
+        parts: ReceiveChannel<AnswerPart>,
+        events: EventReader,
+    ): Boolean {
+        call.exchange.start(head.status, head.headers)
+        return withTimeoutOrNull(call.callerDeadline - clock.elapsed()) {
+            relayParts(call, connection, parts, events)
+        } ?: false
+    }
+
+    private suspend fun relayParts(
+        call: RoutedCall,
+        connection: HttpConnection,
+        parts: ReceiveChannel<AnswerPart>,
+        events: EventReader?,
+    ): Boolean {
+        for (part in parts) {
+            when (part) {
+                is AnswerPart.Data -> {
+                    events?.read(part.bytes)
+                    call.exchange.send(part.bytes)
+                    keepPace(call, connection)
+                }
+                is AnswerPart.End -> return true
+                is AnswerPart.Broken -> return broken(call, part)
+                is AnswerPart.Head -> return false
+            }
+        }
+        return false
+    }
+
+    private fun broken(
+        call: RoutedCall,
+        part: AnswerPart.Broken,
+    ): Boolean {
+        logger.warnEvent("answer_broken", "call" to call.id, "target" to call.lastTarget, "cause" to part.cause)
+        return false
+    }
+
+    /** Stops reading from the target while the caller takes nothing. */
+    private suspend fun keepPace(
+        call: RoutedCall,
+        connection: HttpConnection,
+    ) {
+        if (call.exchange.isWritable) return
+        connection.readWhile(false)
+        call.exchange.awaitWritable()
+        connection.readWhile(true)
+    }
+
+    private fun settle(
+        call: RoutedCall,
+        events: EventReader,
+        isWhole: Boolean,
+    ) {
+        val reservation = call.reservation ?: return
+        // The start of an event that broke off may have been counted by the caller as well.
+        val counted = if (isWhole) events.events else events.events + 1
+        val tokensPerEvent = call.service.engine?.tokensPerEvent ?: 1
+        reservation.settle(counted.toLong() * tokensPerEvent)
+    }
+
+    /** Stores a turn before its answer ends, and returns whether it will last. */
+    private suspend fun keepTurn(
+        call: RoutedCall,
+        target: Target,
+        events: EventReader,
+    ): Boolean {
+        val chain = call.chain ?: return true
+        val record =
+            TurnRecord(
+                id = call.id,
+                account = call.account?.id,
+                ancestors = chain.ids,
+                input = call.request.body,
+                output = events.output(),
+                target = target.entry.id,
+            )
+        return turns
+            .save(record)
+            .onLeft { logger.warnEvent("turn_not_saved", "call" to call.id, "cause" to it) }
+            .isRight()
+    }
+
+    private suspend fun passOnLong(
+        call: RoutedCall,
+        connection: HttpConnection,
+        head: AnswerHead,
+        start: ByteArray,
+        parts: ReceiveChannel<AnswerPart>,
+    ): ReadResult {
+        call.exchange.start(head.status, head.headers)
+        call.exchange.send(start)
+        val isWhole =
+            withTimeoutOrNull(call.callerDeadline - clock.elapsed()) {
+                relayParts(call, connection, parts, events = null)
+            } ?: false
+        if (isWhole) call.exchange.finish() else call.exchange.abort()
+        return ReadResult(AttemptResult.Answered(head.status, isWhole), isClean = isWhole)
+    }
+
+    private suspend fun collect(
+        parts: ReceiveChannel<AnswerPart>,
+        maxBytes: Int,
+    ): Collected {
+        val body = ByteArrayOutputStream()
+        for (part in parts) {
+            when (part) {
+                is AnswerPart.Data -> body.write(part.bytes)
+                is AnswerPart.End -> return Collected.Whole(body.toByteArray())
+                is AnswerPart.Broken -> return Collected.Broken(part.cause)
+                is AnswerPart.Head -> return Collected.Broken("a second head")
+            }
+            if (body.size() > maxBytes) return Collected.TooLong(body.toByteArray())
+        }
+        return Collected.Broken("the answer has no end")
+    }
+
+    private companion object {
+        private const val MAX_COLLECTED_BYTES = 256 * 1024
+        private const val MAX_SKIPPED_BYTES = 64 * 1024
+        private val SKIP_TIMEOUT = 50.milliseconds
+    }
+}
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallTrace.kt
@@ -0,0 +1,21 @@
+package org.chestnutloom.edge.call
+
+import org.chestnutloom.edge.budget.Reservation
+import org.chestnutloom.edge.config.AccountSettings
+import org.chestnutloom.edge.config.Route
+import kotlin.time.Duration
+
+/** What is known of a request while it is handled, for its log line. */
+internal class CallTrace(
+    val startedAt: Duration,
+) {
+    var head: CallHead? = null
+    var configurationVersion: Long = 0
+    var route: Route? = null
+    var account: AccountSettings? = null
+    var reservation: Reservation? = null
+    var call: RoutedCall? = null
+    var status: Int = 0
+    var outcome: String = "unfinished"
+    var detail: String = ""
+}
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
@@ -0,0 +1,117 @@
+package org.chestnutloom.edge.call
+
+import arrow.core.getOrElse
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.edge.config.RouteKind
+import org.chestnutloom.edge.http.AnswerPart
+import org.chestnutloom.edge.http.HttpConnection
+import org.chestnutloom.edge.target.Target
+import org.chestnutloom.time.Clock
+
+/** Sends calls to single targets and passes their answers on. */
+internal class TargetAttempts(
+    private val codec: CallCodec,
+    private val relay: AnswerRelay,
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+) {
+    /** Sends [call] to [target], and returns once its answer was passed on or will not come. */
+    suspend fun send(
+        call: RoutedCall,
+        target: Target,
+    ): AttemptResult {
+        val connection =
+            target.pool.acquire().getOrElse { return AttemptResult.NotRun("connect: ${it.detail}") }
+        var isClean = false
+        try {
+            call.runs++
+            val parts = connection.exchange(requestOf(call, target)) { codec.answers(it, call.id) }
+            val result = read(call, target, connection, parts)
+            isClean = result.isClean
+            if (result.outcome is AttemptResult.NotRun) call.runs--
+            return result.outcome
+        } finally {
+            giveBack(target, connection, isClean)
+        }
+    }
+
+    private fun giveBack(
+        target: Target,
+        connection: HttpConnection,
+        isClean: Boolean,
+    ) {
+        if (!isClean) return target.pool.discard(connection)
+        connection.readWhile(true)
+        // The target may still be reading the request's body.
+        scope.launch { target.pool.releaseWhenSent(connection) }
+    }
+
+    private fun requestOf(
+        call: RoutedCall,
+        target: Target,
+    ): FullHttpRequest {
+        val timeLeft = call.callerDeadline - clock.elapsed()
+        val headers = codec.targetHeaders(call.request, target.entry, call.account?.id, timeLeft)
+        if (call.body.isNotEmpty() ||
+            call.request.method in METHODS_WITH_BODY
+        ) {
+            headers.set("Content-Length", call.body.size)
+        }
+        return DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(call.request.method),
+            call.request.target,
+            Unpooled.wrappedBuffer(call.body),
+            headers,
+            EmptyHttpHeaders.INSTANCE,
+        )
+    }
+
+    private suspend fun read(
+        call: RoutedCall,
+        target: Target,
+        connection: HttpConnection,
+        parts: ReceiveChannel<AnswerPart>,
+    ): ReadResult {
+        val first =
+            withTimeoutOrNull(call.deadline - clock.elapsed()) { parts.receive() }
+                ?: return ReadResult(AttemptResult.TimedOut, isClean = false)
+        return when (first) {
+            is AnswerPart.Head -> passOn(call, target, connection, codec.answerHead(first.response), parts)
+            is AnswerPart.Broken -> ReadResult(AttemptResult.Lost(first.cause), isClean = false)
+            else -> ReadResult(AttemptResult.Lost("an answer without a head"), isClean = false)
+        }
+    }
+
+    private suspend fun passOn(
+        call: RoutedCall,
+        target: Target,
+        connection: HttpConnection,
+        head: AnswerHead,
+        parts: ReceiveChannel<AnswerPart>,
+    ): ReadResult {
+        val isStream = call.route.kind == RouteKind.STREAMING && head.isSuccess
+        return when {
+            head.isNotRun -> ReadResult(AttemptResult.NotRun("the target answered ${head.status}"), relay.skip(parts))
+            head.isSuccess && !head.isSigned -> lost("an answer without a signature")
+            head.promisesNotRun -> lost("the target answered ${head.status} without saying that it did not run")
+            isStream -> relay.stream(call, target, connection, head, parts)
+            else -> relay.whole(call, connection, head, parts)
+        }
+    }
+
+    private fun lost(cause: String): ReadResult = ReadResult(AttemptResult.Lost(cause), isClean = false)
+
+    private companion object {
+        private val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
+    }
+}
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/feed/MemberListener.kt
@@ -0,0 +1,35 @@
+package org.chestnutloom.edge.feed
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.chestnutloom.edge.codec.CborCodec
+import org.chestnutloom.edge.fleet.Fleet
+import org.chestnutloom.edge.fleet.Member
+import org.chestnutloom.edge.store.StoredRow
+import org.chestnutloom.id.GatewayId
+import org.chestnutloom.platform.log.warnEvent
+
+private val logger = KotlinLogging.logger {}
+
+/** Takes over which gateways are registered. */
+internal class MemberListener(
+    private val codec: CborCodec<Member>,
+    private val fleet: Fleet,
+) : TableListener {
+    override fun replaced(rows: List<StoredRow>) {
+        fleet.replaceAll(rows.mapNotNull(::memberOf))
+    }
+
+    override fun changed(rows: List<StoredRow>) {
+        rows.forEach { row ->
+            if (row.value == null) fleet.remove(GatewayId(row.key.key)) else memberOf(row)?.let(fleet::update)
+        }
+    }
+
+    private fun memberOf(row: StoredRow): Member? {
+        val value = row.value ?: return null
+        return codec
+            .decode(value)
+            .onLeft { logger.warnEvent("member_malformed", "gateway" to row.key.key, "detail" to it.detail) }
+            .getOrNull()
+    }
+}
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/BeatSource.kt
@@ -0,0 +1,7 @@
+package org.chestnutloom.edge.fleet
+
+/** Supplies what a gateway says of itself in its beats. */
+public fun interface BeatSource {
+    /** Returns the beat with the number [sequence]. */
+    public fun current(sequence: Long): FleetBeat
+}
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
@@ -0,0 +1,89 @@
+package org.chestnutloom.edge.http
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioChannelOption
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import jdk.net.ExtendedSocketOptions
+import kotlinx.coroutines.suspendCancellableCoroutine
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.link.PeerAddress
+import java.net.ConnectException
+import java.net.InetSocketAddress
+import kotlin.coroutines.resume
+import kotlin.time.Duration
+
+/**
+ * Opens connections for HTTP.
+ *
+ * @property connectTimeout how long the other end may take to accept
+ */
+public class HttpConnector(
+    loop: EdgeLoop,
+    private val clock: Clock,
+    private val connectTimeout: Duration,
+) {
+    private val bootstrap =
+        Bootstrap()
+            .group(loop.group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_KEEPALIVE, true)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
+
+    /** Opens a connection to [address]. */
+    public suspend fun connect(address: PeerAddress): Either<ConnectFailure, HttpConnection> {
+        val connection = HttpConnection(clock)
+        val attempt =
+            bootstrap
+                .clone()
+                .handler(initializer(connection))
+                .connect(InetSocketAddress(address.host, address.port))
+        val cause = attempt.outcome()
+        return if (cause == null) connection.right() else failure(address, cause).left()
+    }
+
+    private fun initializer(connection: HttpConnection): ChannelInitializer<SocketChannel> =
+        object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                channel.pipeline().addLast(
+                    HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
+                    connection,
+                )
+            }
+        }
+
+    private fun failure(
+        address: PeerAddress,
+        cause: Throwable,
+    ): ConnectFailure {
+        val detail = cause.message ?: cause.javaClass.simpleName
+        val wasRefused = cause is ConnectException && "refused" in detail
+        return ConnectFailure(address, detail, wasRefused)
+    }
+
+    /** Returns null when connected, and otherwise why not; cancelling gives the attempt up. */
+    private suspend fun ChannelFuture.outcome(): Throwable? =
+        suspendCancellableCoroutine { waiting ->
+            addListener { ended -> if (waiting.isActive) waiting.resume(ended.cause()) else channel().close() }
+            waiting.invokeOnCancellation { cancel(false) }
+        }
+
+    private companion object {
+        private const val KEEPALIVE_SECONDS = 1
+        private const val KEEPALIVE_PROBES = 3
+        private const val MAX_LINE_BYTES = 8_192
+        private const val MAX_HEADER_BYTES = 32_768
+        private const val MAX_CHUNK_BYTES = 65_536
+    }
+}
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressExchange.kt
@@ -0,0 +1,111 @@
+package org.chestnutloom.edge.http
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import kotlinx.coroutines.CompletableDeferred
+
+/** The answer to one request of an [IngressConnection]. */
+internal class IngressExchange(
+    private val context: ChannelHandlerContext,
+    private val registry: IngressRegistry,
+    private val wantsKeepAlive: Boolean,
+    private val onEnded: () -> Unit,
+) : CallerExchange {
+    private var writable = CompletableDeferred<Unit>()
+    private var isEnded = false
+    private var isLastOnConnection = false
+
+    override var isStarted: Boolean = false
+        private set
+
+    override fun answer(
+        status: Int,
+        headers: HttpHeaders,
+        body: ByteArray,
+    ) {
+        if (isStarted || isEnded) return
+        isStarted = true
+        val content = Unpooled.wrappedBuffer(body)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content)
+        response.headers().add(headers)
+        HttpUtil.setContentLength(response, body.size.toLong())
+        announceClose(response)
+        end(context.writeAndFlush(response))
+    }
+
+    override fun start(
+        status: Int,
+        headers: HttpHeaders,
+    ) {
+        if (isStarted || isEnded) return
+        isStarted = true
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        response.headers().add(headers)
+        if (!HttpUtil.isContentLengthSet(response)) HttpUtil.setTransferEncodingChunked(response, true)
+        announceClose(response)
+        context.writeAndFlush(response)
+    }
+
+    override fun send(bytes: ByteArray) {
+        if (isEnded) return
+        context.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+    }
+
+    override val isWritable: Boolean
+        get() = isEnded || !context.channel().isActive || context.channel().isWritable
+
+    override suspend fun awaitWritable() {
+        while (!isWritable) {
+            writable = CompletableDeferred()
+            writable.await()
+        }
+    }
+
+    override fun finish() {
+        if (isEnded) return
+        end(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
+    }
+
+    override fun abort() {
+        if (isEnded) return
+        isEnded = true
+        context.close()
+        onEnded()
+    }
+
+    /** Ends an exchange that its handler left without a whole answer. */
+    fun close() {
+        if (!isEnded) abort()
+    }
+
+    fun writabilityChanged() {
+        writable.complete(Unit)
+    }
+
+    fun connectionLost() {
+        writable.complete(Unit)
+    }
+
+    private fun announceClose(response: HttpResponse) {
+        isLastOnConnection = !wantsKeepAlive || registry.isStopping
+        if (isLastOnConnection) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    }
+
+    private fun end(written: ChannelFuture) {
+        isEnded = true
+        if (isLastOnConnection) written.addListener { context.close() }
+        onEnded()
+    }
+}
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressServer.kt
@@ -0,0 +1,77 @@
+package org.chestnutloom.edge.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpResponseEncoder
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.link.PeerAddress
+import java.net.InetSocketAddress
+
+/** Takes callers' connections on one address. */
+public class IngressServer(
+    private val address: PeerAddress,
+    private val loop: EdgeLoop,
+    private val handler: CallerHandler,
+    private val limits: IngressLimits,
+    private val clock: Clock,
+) {
+    private val registry = IngressRegistry()
+    private var listening: Channel? = null
+
+    /** Whether a request is being read or answered. */
+    public val isBusy: Boolean
+        get() = registry.isBusy
+
+    /** Starts to listen, and returns the port. */
+    public fun start(): Int {
+        val channel = bootstrap().bind(InetSocketAddress(address.host, address.port)).sync().channel()
+        listening = channel
+        return (channel.localAddress() as InetSocketAddress).port
+    }
+
+    /** Makes every answer the last on its connection from now on. */
+    public fun beginStop() {
+        registry.beginStop()
+    }
+
+    /** Takes no more connections, and closes the idle ones. */
+    public fun stopListening() {
+        listening?.close()
+        registry.closeIdle()
+    }
+
+    private fun bootstrap(): ServerBootstrap =
+        ServerBootstrap()
+            .group(loop.group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.SO_KEEPALIVE, true)
+            .childHandler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) {
+                        val connection = IngressConnection(handler, limits, registry, clock, loop.scope)
+                        channel.pipeline().addLast(
+                            StrictRequestDecoder(decoderConfig()),
+                            HttpResponseEncoder(),
+                            connection,
+                        )
+                    }
+                },
+            )
+
+    private fun decoderConfig(): HttpDecoderConfig {
+        val maxBytes = limits.current().maxHeaderBytes
+        return HttpDecoderConfig().setMaxInitialLineLength(maxBytes).setMaxHeaderSize(maxBytes)
+    }
+
+    private companion object {
+        private const val BACKLOG = 1_024
+    }
+}
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/KeepAliveHeader.kt
@@ -0,0 +1,19 @@
+package org.chestnutloom.edge.http
+
+import io.netty.handler.codec.http.HttpResponse
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Returns the timeout in the `Keep-Alive` header of [response], or null without one. */
+internal fun keepAliveOf(response: HttpResponse): Duration? =
+    response
+        .headers()
+        .get("Keep-Alive")
+        ?.split(',')
+        ?.map { it.trim() }
+        ?.firstOrNull { it.startsWith(TIMEOUT, ignoreCase = true) }
+        ?.substring(TIMEOUT.length)
+        ?.toIntOrNull()
+        ?.seconds
+
+private const val TIMEOUT = "timeout="
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/StrictRequestDecoder.kt
@@ -0,0 +1,15 @@
+package org.chestnutloom.edge.http
+
+import io.netty.handler.codec.DecoderResult
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpRequestDecoder
+
+/** Decodes requests, and marks those as faulty whose length could be read in two ways. */
+internal class StrictRequestDecoder(
+    config: HttpDecoderConfig,
+) : HttpRequestDecoder(config) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
+        message.decoderResult = DecoderResult.failure(AmbiguousLength())
+    }
+}
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/EventReader.kt
@@ -0,0 +1,68 @@
+package org.chestnutloom.edge.turn
+
+import java.io.ByteArrayOutputStream
+
+/** Counts the events of a `text/event-stream`, and collects their data when asked to. */
+public class EventReader(
+    private val collectsData: Boolean,
+) {
+    private val line = ByteArrayOutputStream()
+    private val data = ByteArrayOutputStream()
+    private val output = ByteArrayOutputStream()
+    private var hasData = false
+    private var wasCarriageReturn = false
+
+    /** Whole events read so far. */
+    public var events: Int = 0
+        private set
+
+    /** The data of each event so far, each followed by a line feed. */
+    public fun output(): ByteArray = output.toByteArray()
+
+    /** Reads the next [bytes] of the stream. */
+    public fun read(bytes: ByteArray) {
+        bytes.forEach(::read)
+    }
+
+    private fun read(byte: Byte) {
+        val isLineEnd = byte == LINE_FEED || byte == CARRIAGE_RETURN
+        val isSecondHalf = byte == LINE_FEED && wasCarriageReturn
+        wasCarriageReturn = byte == CARRIAGE_RETURN
+        if (isSecondHalf) return
+        if (isLineEnd) endLine() else line.write(byte.toInt())
+    }
+
+    private fun endLine() {
+        if (line.size() == 0) endEvent() else readField()
+        line.reset()
+    }
+
+    private fun readField() {
+        val bytes = line.toByteArray()
+        if (!startsWithData(bytes)) return
+        if (hasData) data.write(LINE_FEED.toInt())
+        hasData = true
+        val start = if (bytes.size > DATA.size && bytes[DATA.size] == SPACE) DATA.size + 1 else DATA.size
+        if (collectsData) data.write(bytes, start, bytes.size - start)
+    }
+
+    private fun startsWithData(bytes: ByteArray): Boolean =
+        bytes.size >= DATA.size && DATA.indices.all { bytes[it] == DATA[it] }
+
+    private fun endEvent() {
+        if (!hasData) return
+        events++
+        hasData = false
+        if (!collectsData) return
+        data.write(LINE_FEED.toInt())
+        data.writeTo(output)
+        data.reset()
+    }
+
+    private companion object {
+        private const val LINE_FEED = '\n'.code.toByte()
+        private const val CARRIAGE_RETURN = '\r'.code.toByte()
+        private const val SPACE = ' '.code.toByte()
+        private val DATA = "data:".encodeToByteArray()
+    }
+}
