--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/Daemon.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/Daemon.kt
@@ -36,6 +36,11 @@
         )
     }
 
+    /** Takes note of a request to read the settings again; they are flags and variables, which stay as they are. */
+    fun reload() {
+        logger.event("reload", "role" to launch.role, "id" to launch.id, "outcome" to "settings_unchanged")
+    }
+
     /** Lets the node finish its work, and stops everything. */
     suspend fun stop() {
         logger.event("stopping", "role" to launch.role, "id" to launch.id)
--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/DaemonProcess.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/DaemonProcess.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.runBlocking
 import org.chestnutloom.platform.flag.UsageFault
 import org.chestnutloom.platform.log.warnEvent
+import sun.misc.Signal
 import kotlin.system.exitProcess
 
 /** The exit code when the node cannot be started. */
@@ -26,6 +27,7 @@
     System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     val launch = parser.parse(args, System.getenv()).fold({ endWithUsage(it) }, { it })
     val daemon = startOrEnd(launch)
+    onReloadSignal { daemon.reload() }
     Runtime.getRuntime().addShutdownHook(Thread { stopAndHalt(daemon) })
     runBlocking { awaitCancellation() }
 }
@@ -45,6 +47,11 @@
         exitProcess(EXIT_START_FAILED)
     }
 
+/** Runs [reload] on SIGHUP, which would end the process otherwise. */
+private fun onReloadSignal(reload: () -> Unit) {
+    Signal.handle(Signal("HUP")) { reload() }
+}
+
 /** Stops on SIGTERM or SIGINT; halting gives exit code 0 where the runtime would report the signal. */
 private fun stopAndHalt(daemon: Daemon) {
     val exitCode =
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/BeatExchange.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/BeatExchange.kt
@@ -1,41 +1,67 @@
 package org.chestnutloom.edge
 
 import org.chestnutloom.edge.config.ConfigurationHolder
+import org.chestnutloom.edge.crash.CrashGuard
 import org.chestnutloom.edge.fleet.BeatSource
 import org.chestnutloom.edge.fleet.Fleet
 import org.chestnutloom.edge.fleet.FleetBeat
 import org.chestnutloom.edge.fleet.FleetListener
 import org.chestnutloom.edge.fleet.Member
 import org.chestnutloom.edge.fleet.Peer
+import org.chestnutloom.edge.fleet.PeerLinks
 import org.chestnutloom.edge.fleet.TargetLoad
 import org.chestnutloom.edge.quota.AccountQuotas
+import org.chestnutloom.edge.quota.UseReporter
+import org.chestnutloom.edge.store.StoreContact
 import org.chestnutloom.edge.target.TargetDirectory
 import org.chestnutloom.edge.target.TargetScheduler
+import org.chestnutloom.edge.turn.TurnStore
 import org.chestnutloom.id.GatewayId
 import org.chestnutloom.id.TargetId
+import org.chestnutloom.time.Clock
 
 /** Tells other gateways what this one does, and takes over what they tell. */
 internal class BeatExchange(
     private val self: Member,
     private val configurations: ConfigurationHolder,
-    private val quotas: AccountQuotas,
     private val targets: TargetDirectory,
     private val scheduler: TargetScheduler,
+    private val contact: StoreContact,
+    private val crashes: CrashGuard,
+    clock: Clock,
 ) : BeatSource,
-    FleetListener {
+    FleetListener,
+    UseReporter {
+    /** What client accounts may send. */
+    val quotas: AccountQuotas = AccountQuotas(clock, this)
+
     /** The fleet whose beats are exchanged. */
     lateinit var fleet: Fleet
 
+    /** The turns that are kept here. */
+    lateinit var turns: TurnStore
+
+    /** The links to other gateways. */
+    lateinit var links: PeerLinks
+
+    override val fleetSize: Int
+        get() = fleet.size
+
+    override fun reportSoon() {
+        fleet.beatSoon()
+    }
+
     override fun current(sequence: Long): FleetBeat =
         FleetBeat(
             gateway = self.gateway,
             incarnation = self.incarnation,
             sequence = sequence,
             configurationVersion = configurations.current?.version ?: 0,
-            unsavedTurns = 0,
-            used = quotas.used,
+            reachesStore = contact.isFresh && !contact.isLost,
+            unsavedTurns = turns.unsavedCount,
+            used = quotas.report(),
             loads = targets.all.filter { it.inFlight > 0 }.map { TargetLoad(it.entry.id, it.inFlight) },
-            crashes = emptyList(),
+            crashes = crashes.marks,
         )
 
     override fun beatArrived(
@@ -43,6 +69,7 @@
         beat: FleetBeat,
     ) {
         quotas.peerReported(beat)
+        crashes.learn(beat.crashes)
         updateLoads()
     }
 
@@ -53,6 +80,7 @@
 
     override fun peerGone(id: GatewayId) {
         quotas.peerGone(id)
+        links.forget(id)
         updateLoads()
     }
 
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
@@ -0,0 +1,79 @@
+package org.chestnutloom.edge
+
+import arrow.core.merge
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flow
+import org.chestnutloom.call.Execution
+import org.chestnutloom.call.Refusal
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.edge.budget.BudgetKeeper
+import org.chestnutloom.edge.store.ChangeFailure
+import org.chestnutloom.edge.store.RowStore
+import org.chestnutloom.edge.store.changeOf
+import org.chestnutloom.edge.store.relayed
+import org.chestnutloom.edge.turn.TurnStore
+import org.chestnutloom.wire.link.LinkHandler
+import org.chestnutloom.wire.link.PeerIdentity
+import org.chestnutloom.wire.message.CallRefused
+import org.chestnutloom.wire.message.ChangeStore
+import org.chestnutloom.wire.message.CopyTurn
+import org.chestnutloom.wire.message.Done
+import org.chestnutloom.wire.message.FindTurn
+import org.chestnutloom.wire.message.LinkReply
+import org.chestnutloom.wire.message.LinkRequest
+import org.chestnutloom.wire.message.ReadStore
+import org.chestnutloom.wire.message.StoreReply
+import org.chestnutloom.wire.message.TrimBudget
+import org.chestnutloom.wire.message.TurnFound
+
+/**
+ * Answers what other gateways ask of this one.
+ *
+ * @param store the store as this gateway itself reaches it, so that a call is never relayed twice
+ */
+internal class EdgeLinkHandler(
+    private val store: RowStore,
+    private val budgets: BudgetKeeper,
+    private val turns: TurnStore,
+) : LinkHandler {
+    override fun handle(
+        peer: PeerIdentity,
+        request: LinkRequest,
+    ): Flow<LinkReply> = flow { emit(answer(request)) }
+
+    private suspend fun answer(request: LinkRequest): LinkReply =
+        when (request) {
+            is ReadStore -> read(request)
+            is ChangeStore -> change(request)
+            is TrimBudget -> Done.also { budgets.trim(request.program) }
+            is CopyTurn -> copy(request)
+            is FindTurn -> TurnFound(turns.find(request.turn))
+            else -> refused("an edge gateway does not answer this request")
+        }
+
+    private suspend fun read(request: ReadStore): StoreReply =
+        store
+            .read(request.table, request.partition)
+            .map { StoreReply.Rows(relayed(it.rows), it.version) }
+            .mapLeft { relayed(it) }
+            .merge()
+
+    private suspend fun change(request: ChangeStore): StoreReply =
+        store
+            .change(changeOf(request))
+            .map { StoreReply.Rows(emptyList(), it) }
+            .mapLeft(::reply)
+            .merge()
+
+    private fun reply(failure: ChangeFailure): StoreReply =
+        when (failure) {
+            is ChangeFailure.Conflict -> StoreReply.Conflict(relayed(failure.current))
+            is ChangeFailure.Failed -> relayed(failure.cause)
+        }
+
+    private fun copy(request: CopyTurn): LinkReply =
+        turns.keepCopy(request.record).fold({ refused("the turn cannot be read: ${it.detail}") }, { Done })
+
+    private fun refused(detail: String): LinkReply =
+        CallRefused(Refusal(RefusalCode.BAD_REQUEST, Execution.NOT_RUN, detail))
+}
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.edge.budget.BudgetKeeper
 import org.chestnutloom.edge.call.AnswerRelay
 import org.chestnutloom.edge.call.CallDispatcher
@@ -14,24 +15,32 @@
 import org.chestnutloom.edge.codec.CborCodec
 import org.chestnutloom.edge.config.ConfigurationHolder
 import org.chestnutloom.edge.config.RequestLimits
+import org.chestnutloom.edge.crash.CrashGuard
 import org.chestnutloom.edge.feed.ConfigurationListener
 import org.chestnutloom.edge.feed.MemberListener
 import org.chestnutloom.edge.feed.TableListener
 import org.chestnutloom.edge.feed.TableWatcher
 import org.chestnutloom.edge.feed.TargetListener
 import org.chestnutloom.edge.fleet.Fleet
+import org.chestnutloom.edge.fleet.FleetBudgets
+import org.chestnutloom.edge.fleet.FleetTurns
 import org.chestnutloom.edge.fleet.Member
+import org.chestnutloom.edge.fleet.PeerLinks
 import org.chestnutloom.edge.fleet.Registration
+import org.chestnutloom.edge.fleet.RelayingRowStore
 import org.chestnutloom.edge.http.CallerHandler
 import org.chestnutloom.edge.http.ConnectionPool
 import org.chestnutloom.edge.http.EdgeLoop
 import org.chestnutloom.edge.http.HttpConnector
 import org.chestnutloom.edge.http.IngressLimits
 import org.chestnutloom.edge.http.IngressServer
-import org.chestnutloom.edge.quota.AccountQuotas
+import org.chestnutloom.edge.store.HedgedRowStore
+import org.chestnutloom.edge.store.ObservedRowStore
+import org.chestnutloom.edge.store.StoreContact
 import org.chestnutloom.edge.target.TargetDirectory
 import org.chestnutloom.edge.target.TargetFactory
 import org.chestnutloom.edge.target.TargetScheduler
+import org.chestnutloom.edge.turn.TurnRows
 import org.chestnutloom.edge.turn.TurnStore
 import org.chestnutloom.platform.log.event
 import org.chestnutloom.platform.node.Node
@@ -39,6 +48,7 @@
 import org.chestnutloom.route.RoutingPolicyKind
 import org.chestnutloom.route.routingPolicy
 import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.link.PeerAddress
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -62,17 +72,23 @@
 ) : Node {
     private val loop = EdgeLoop()
     private val connector = HttpConnector(loop, clock, CONNECT_TIMEOUT)
-    private val store = adapter.rowStore(ConnectionPool(settings.store, connector, clock, loop.scope))
+    private val contact = StoreContact(clock)
+    private val ownStore =
+        ObservedRowStore(HedgedRowStore(adapter.rowStore(connectionsTo(settings.store))), contact)
     private val memberCodec = CborCodec(Member.serializer())
     private val configurations = ConfigurationHolder(clock)
     private val targets = TargetDirectory(TargetFactory(connector, clock, loop.scope), ::cacheTokensOf)
     private val scheduler =
         TargetScheduler(targets, routingPolicy(RoutingPolicyKind.COST), settings.self.failureDomain, clock)
-    private val quotas = AccountQuotas(clock)
-    private val budgets = BudgetKeeper(store, settings.self.gateway, settings.self.incarnation)
-    private val turns = TurnStore(store, settings.rowBytes)
-    private val exchangeOfBeats = BeatExchange(settings.self, configurations, quotas, targets, scheduler)
-    private val fleet = Fleet(settings.self, loop, clock, exchangeOfBeats, exchangeOfBeats)
+    private val crashes = CrashGuard({ connector.isRefused(it.address) }, loop.scope)
+    private val beats = BeatExchange(settings.self, configurations, targets, scheduler, contact, crashes, clock)
+    private val fleet = Fleet(settings.self, loop, clock, beats, beats)
+    private val links = PeerLinks(settings.self, clock, loop.scope)
+    private val store = RelayingRowStore(ownStore, contact, fleet, links)
+    private val budgets =
+        BudgetKeeper(store, FleetBudgets(fleet, links), settings.self.gateway, settings.self.incarnation)
+    private val turns =
+        TurnStore(TurnRows(store, settings.rowBytes), FleetTurns(settings.self, fleet, links), loop.scope)
     private val limits = IngressLimits { configurations.current?.limits ?: LIMITS_BEFORE_CONFIGURATION }
     private val ingress = IngressServer(settings.callers, loop, callService(), limits, clock)
     private val health = IngressServer(settings.health, loop, healthHandler(), limits, clock)
@@ -86,14 +102,17 @@
         get() = NodeEndpoints(httpPort = callerPort, linkPort = settings.self.address.port)
 
     override suspend fun start() {
-        exchangeOfBeats.fleet = fleet
-        configurations.onChange(quotas::configure)
+        beats.fleet = fleet
+        beats.turns = turns
+        beats.links = links
+        configurations.onChange(beats.quotas::configure)
         health.start()
         callerPort = ingress.start()
         fleet.start()
+        links.start(EdgeLinkHandler(ownStore, budgets, turns))
         loop.scope.launch { Registration(store, settings.self, memberCodec).register() }
         watch(adapter.environment.configurationTable, ConfigurationListener(adapter.environment, configurations))
-        watch(adapter.environment.targetTable, TargetListener(adapter.environment, targets))
+        watch(adapter.environment.targetTable, TargetListener(adapter.environment, targets, contact, loop.scope))
         watch(Registration.TABLE, MemberListener(memberCodec, fleet))
     }
 
@@ -110,9 +129,13 @@
         while (ingress.isBusy && clock.elapsed() - startedAt < settings.grace - STOP_MARGIN) delay(STOP_POLL)
         logger.event("ingress_closed", "busy" to ingress.isBusy)
         ingress.stopListening()
+        withTimeoutOrNull(HAND_BACK_TIMEOUT) { budgets.trimAll() }
+        links.stop()
         fleet.stop()
     }
 
+    private fun connectionsTo(address: PeerAddress) = ConnectionPool(address, connector, clock, loop.scope)
+
     private fun watch(
         table: String,
         listener: TableListener,
@@ -122,8 +145,18 @@
 
     private fun callService(): CallService {
         val attempts = TargetAttempts(adapter.calls, AnswerRelay(turns, clock), clock, loop.scope)
-        val dispatcher = CallDispatcher(scheduler, attempts, clock, loop.scope)
-        return CallService(configurations, adapter.calls, quotas, budgets, turns, dispatcher, clock, Random.Default)
+        val dispatcher = CallDispatcher(scheduler, attempts, crashes, clock, loop.scope)
+        return CallService(
+            configurations,
+            adapter.calls,
+            beats.quotas,
+            budgets,
+            turns,
+            dispatcher,
+            crashes,
+            clock,
+            Random.Default,
+        )
     }
 
     private fun healthHandler() =
@@ -142,6 +175,7 @@
         /** The balancer takes a gateway out after two health checks, a second apart, have failed. */
         private val BALANCER_DELAY = 2_600.milliseconds
         private val STOP_MARGIN = 1.seconds
+        private val HAND_BACK_TIMEOUT = 700.milliseconds
         private val STOP_POLL = 20.milliseconds
         private const val OK = 200
         private const val UNAVAILABLE = 503
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetKeeper.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetKeeper.kt
@@ -34,6 +34,7 @@
  */
 public class BudgetKeeper(
     private val store: RowStore,
+    private val peers: BudgetPeers,
     private val gateway: GatewayId,
     private val incarnation: Incarnation,
 ) {
@@ -56,6 +57,28 @@
         return Reservation(budget, mostTokens).right()
     }
 
+    /** Gives back what was claimed of the budget of [program] and is not needed by turns under way. */
+    public suspend fun trim(program: ProgramId) {
+        val budget = budgets[program] ?: return
+        budget.claiming.withLock {
+            val needed = budget.neededFor(mostTokens = 0)
+            if (needed >= budget.claimedTokens) return
+            // Lowered first, so that no turn starts on what is being given back.
+            budget.claimedTokens = needed
+            val failure = write(program, budget, needed)
+            if (failure is ChangeFailure.Conflict) adopt(program, budget, failure.current)
+            logger.event("budget_trimmed", "program" to program, "claimed" to needed, "failure" to (failure ?: "none"))
+        }
+    }
+
+    /** Gives back what was claimed and is not needed, of as many programs as the store takes until cancelled. */
+    public suspend fun trimAll() {
+        budgets.keys
+            .toList()
+            .asReversed()
+            .forEach { trim(it) }
+    }
+
     private fun budgetOf(program: ProgramId): ProgramBudget {
         val budget = budgets.getOrPut(program) { ProgramBudget() }
         if (budgets.size > MAX_PROGRAMS) dropOldestIdle()
@@ -94,7 +117,7 @@
                 }
             if (failure is ChangeFailure.Failed) return storeAway(program, failure).left()
             if (failure is ChangeFailure.Conflict) adopt(program, budget, failure.current)
-            isFresh = needed > free || failure is ChangeFailure.Conflict
+            isFresh = needed > free
         }
         return contended().left()
     }
@@ -105,11 +128,12 @@
         budgetTokens: Long,
     ): Long = minOf(freeTokens, neededTokens + budgetTokens / AHEAD_DIVISOR)
 
-    /** Reads the row, as claims of others may have become smaller, and returns why that failed, or null. */
+    /** Has other gateways give back what they can, reads the row, and returns why that failed, or null. */
     private suspend fun read(
         program: ProgramId,
         budget: ProgramBudget,
     ): ChangeFailure? {
+        peers.trim(program, budget.otherClaims)
         val snapshot = store.read(TABLE, program.value).getOrElse { return ChangeFailure.Failed(it) }
         adopt(program, budget, snapshot.rows)
         return null
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetPeers.kt
@@ -0,0 +1,12 @@
+package org.chestnutloom.edge.budget
+
+import org.chestnutloom.id.ProgramId
+
+/** The other gateways, as far as budgets are concerned. */
+public fun interface BudgetPeers {
+    /** Asks the gateways that hold [claims] to give back what they do not need of the budget of [program]. */
+    public suspend fun trim(
+        program: ProgramId,
+        claims: List<BudgetClaim>,
+    )
+}
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/AnswerRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/AnswerRelay.kt
@@ -147,10 +147,7 @@
                 output = events.output(),
                 target = target.entry.id,
             )
-        return turns
-            .save(record)
-            .onLeft { logger.warnEvent("turn_not_saved", "call" to call.id, "cause" to it) }
-            .isRight()
+        return turns.save(record)
     }
 
     private suspend fun passOnLong(
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
@@ -10,6 +10,8 @@
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.edge.config.RouteKind
+import org.chestnutloom.edge.crash.CrashGuard
+import org.chestnutloom.edge.crash.runOf
 import org.chestnutloom.edge.target.Target
 import org.chestnutloom.edge.target.TargetNeeds
 import org.chestnutloom.edge.target.TargetScheduler
@@ -19,6 +21,7 @@
 internal class CallDispatcher(
     private val scheduler: TargetScheduler,
     private val attempts: TargetAttempts,
+    private val crashes: CrashGuard,
     private val clock: Clock,
     private val scope: CoroutineScope,
 ) {
@@ -48,7 +51,7 @@
         call.lastTarget = target.entry.id
         try {
             val result = attempts.send(call, target)
-            note(target, result)
+            note(call, target, result)
             return result
         } finally {
             // Not in this coroutine, which may be cancelled: other requests wait for the place.
@@ -57,12 +60,17 @@
     }
 
     private fun note(
+        call: RoutedCall,
         target: Target,
         result: AttemptResult,
     ) {
         when (result) {
-            is AttemptResult.Answered -> if (result.isWhole) target.health.succeeded()
-            is AttemptResult.Lost -> target.health.failed(clock.elapsed())
+            is AttemptResult.Answered ->
+                if (result.isWhole) target.health.succeeded() else crashes.brokeOff(call.fingerprint, runOf(target.entry))
+            is AttemptResult.Lost -> {
+                target.health.failed(clock.elapsed())
+                crashes.brokeOff(call.fingerprint, runOf(target.entry))
+            }
             is AttemptResult.NotRun -> target.health.failed(clock.elapsed())
             is AttemptResult.TimedOut -> Unit
         }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -16,6 +16,7 @@
 import org.chestnutloom.edge.config.EdgeConfiguration
 import org.chestnutloom.edge.config.Route
 import org.chestnutloom.edge.config.RouteKind
+import org.chestnutloom.edge.crash.CrashGuard
 import org.chestnutloom.edge.http.CallerExchange
 import org.chestnutloom.edge.http.CallerHandler
 import org.chestnutloom.edge.http.CallerRequest
@@ -37,6 +38,7 @@
     private val budgets: BudgetKeeper,
     private val turns: TurnStore,
     private val dispatcher: CallDispatcher,
+    private val crashes: CrashGuard,
     private val clock: Clock,
     private val random: Random,
 ) : CallerHandler {
@@ -74,6 +76,7 @@
         account?.let { quotas.admit(it).bind() }
         val call = callOf(configuration, route, account, request, exchange, head, trace)
         trace.call = call
+        if (crashes.hasMarks && crashes.isQuarantined(call.fingerprint)) raise(quarantined())
         val answered = dispatcher.dispatch(call).bind()
         trace.status = answered.status
         return answered
@@ -156,6 +159,8 @@
     private fun refusalOf(failure: TurnFailure): Refusal =
         when (failure) {
             is TurnFailure.NotFound -> Refusal(RefusalCode.NOT_FOUND, Execution.NOT_RUN, "there is no such turn")
+            is TurnFailure.GatewayAway ->
+                Refusal(RefusalCode.STORE_UNAVAILABLE, Execution.NOT_RUN, "the turn may be elsewhere", STORE_RETRY_MS)
             is TurnFailure.StoreAway ->
                 Refusal(RefusalCode.STORE_UNAVAILABLE, Execution.NOT_RUN, "the turn cannot be read now", STORE_RETRY_MS)
         }
@@ -170,6 +175,9 @@
         return budgets.reserve(program, budgetTokens, head.maxOutputTokens).bind()
     }
 
+    private fun quarantined(): Refusal =
+        Refusal(RefusalCode.QUARANTINED, Execution.NOT_RUN, "the request crashed targets before", QUARANTINE_RETRY_MS)
+
     private fun stale(detail: String): Refusal =
         Refusal(RefusalCode.GATEWAY_STALE, Execution.NOT_RUN, detail, STALE_RETRY_MS)
 
@@ -207,6 +215,7 @@
     }
 
     private companion object {
+        private const val QUARANTINE_RETRY_MS = 60_000L
         private const val STALE_RETRY_MS = 500L
         private const val STORE_RETRY_MS = 500L
         private val EMPTY = ByteArray(0)
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
@@ -4,6 +4,8 @@
 import org.chestnutloom.edge.config.AccountSettings
 import org.chestnutloom.edge.config.Route
 import org.chestnutloom.edge.config.Service
+import org.chestnutloom.edge.crash.RequestFingerprint
+import org.chestnutloom.edge.crash.fingerprintOf
 import org.chestnutloom.edge.http.CallerExchange
 import org.chestnutloom.edge.http.CallerRequest
 import org.chestnutloom.edge.turn.TurnChain
@@ -44,6 +46,9 @@
     /** The target that got the request last. */
     var lastTarget: TargetId? = null
 
+    /** Names the request among those that may be sent again. */
+    val fingerprint: RequestFingerprint by lazy(LazyThreadSafetyMode.NONE) { fingerprintOf(request, account?.id) }
+
     /** The request's urgency, 0 being the most urgent. */
     val rank: Int
         get() = account?.priority ?: route.priority
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/feed/TargetListener.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/feed/TargetListener.kt
@@ -1,24 +1,67 @@
 package org.chestnutloom.edge.feed
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.chestnutloom.edge.store.StoreContact
 import org.chestnutloom.edge.store.StoredRow
 import org.chestnutloom.edge.target.TargetDirectory
 import org.chestnutloom.edge.target.TargetEntry
+import org.chestnutloom.id.TargetId
+import org.chestnutloom.platform.log.event
 import org.chestnutloom.platform.log.warnEvent
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
 
-/** Takes over what targets write of themselves; a row that cannot be read names no target. */
+/**
+ * Takes over what targets write of themselves; a row that cannot be read names no target.
+ *
+ * Rows expire while targets cannot reach the store. A row that is missing right after an outage therefore says nothing
+ * for a moment, in which targets that live write their rows again.
+ */
 internal class TargetListener(
     private val codec: EnvironmentCodec,
     private val directory: TargetDirectory,
+    private val contact: StoreContact,
+    private val scope: CoroutineScope,
 ) : TableListener {
+    private val listed = HashSet<TargetId>()
+
     override fun replaced(rows: List<StoredRow>) {
-        directory.replaceAll(rows.mapNotNull(::entryOf))
+        val entries = rows.mapNotNull(::entryOf)
+        listed.clear()
+        listed += entries.map { it.id }
+        directory.markKnown()
+        directory.all.map { it.entry.id }.filterNot { it in listed }.forEach(::removeOrWait)
+        entries.forEach(directory::update)
     }
 
     override fun changed(rows: List<StoredRow>) {
-        rows.forEach { row -> entryOf(row)?.let(directory::update) ?: directory.remove(codec.targetId(row)) }
+        rows.forEach(::changed)
+    }
+
+    private fun changed(row: StoredRow) {
+        val entry = entryOf(row)
+        if (entry != null) {
+            listed += entry.id
+            directory.update(entry)
+        } else {
+            listed -= codec.targetId(row)
+            removeOrWait(codec.targetId(row))
+        }
+    }
+
+    private fun removeOrWait(id: TargetId) {
+        val wait = contact.sinceRegained?.let { REWRITE_TIME - it } ?: Duration.ZERO
+        if (wait <= Duration.ZERO) return directory.remove(id)
+        logger.event("target_missing_after_outage", "target" to id, "wait_ms" to wait.inWholeMilliseconds)
+        scope.launch {
+            delay(wait)
+            if (id !in listed) directory.remove(id)
+        }
     }
 
     private fun entryOf(row: StoredRow): TargetEntry? {
@@ -28,4 +71,9 @@
             .onLeft { logger.warnEvent("target_malformed", "target" to it.key, "detail" to it.detail) }
             .getOrNull()
     }
+
+    private companion object {
+        /** Within this time after an outage, targets that live have written their rows again. */
+        private val REWRITE_TIME = 2_200.milliseconds
+    }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
@@ -25,6 +25,7 @@
     private val peersById = LinkedHashMap<GatewayId, Peer>()
     private val socket = BeatSocket(self.address, loop, ::beatArrived)
     private var sequence = 0L
+    private var isBeatDue = false
 
     /** The other gateways that are registered. */
     public val peers: Collection<Peer>
@@ -71,6 +72,17 @@
         listener.peerGone(id)
     }
 
+    /** Sends a beat before the next regular one; several wishes within a moment make one beat. */
+    public fun beatSoon() {
+        if (isBeatDue) return
+        isBeatDue = true
+        scope.launch {
+            delay(SOON)
+            isBeatDue = false
+            sendBeats()
+        }
+    }
+
     private suspend fun beat() {
         while (scope.isActive) {
             delay(BEAT_INTERVAL)
@@ -111,6 +123,7 @@
 
     private companion object {
         private val BEAT_INTERVAL = 100.milliseconds
+        private val SOON = 10.milliseconds
 
         /** Longer than datagrams are ever lost in a row on a link that works. */
         private val SILENCE = 450.milliseconds
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetBudgets.kt
@@ -0,0 +1,33 @@
+package org.chestnutloom.edge.fleet
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import org.chestnutloom.edge.budget.BudgetClaim
+import org.chestnutloom.edge.budget.BudgetPeers
+import org.chestnutloom.id.ProgramId
+import org.chestnutloom.wire.message.TrimBudget
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Asks the other gateways of the fleet for budget that they claimed and do not need. */
+internal class FleetBudgets(
+    private val fleet: Fleet,
+    private val links: PeerLinks,
+) : BudgetPeers {
+    override suspend fun trim(
+        program: ProgramId,
+        claims: List<BudgetClaim>,
+    ) {
+        val holders = fleet.peers.filter { peer -> !peer.isSilent && claims.any { isOf(it, peer.member) } }
+        coroutineScope { holders.map { async { links.ask(it.member, TrimBudget(program), TRIM_TIMEOUT) } }.awaitAll() }
+    }
+
+    private fun isOf(
+        claim: BudgetClaim,
+        member: Member,
+    ): Boolean = claim.gateway == member.gateway && claim.incarnation == member.incarnation
+
+    private companion object {
+        private val TRIM_TIMEOUT = 400.milliseconds
+    }
+}
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/PeerLinks.kt
@@ -0,0 +1,83 @@
+package org.chestnutloom.edge.fleet
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.id.GatewayId
+import org.chestnutloom.time.Clock
+import org.chestnutloom.wire.link.Heartbeat
+import org.chestnutloom.wire.link.HeartbeatSource
+import org.chestnutloom.wire.link.LinkException
+import org.chestnutloom.wire.link.LinkFailure
+import org.chestnutloom.wire.link.LinkHandler
+import org.chestnutloom.wire.link.LinkOptions
+import org.chestnutloom.wire.link.LinkServer
+import org.chestnutloom.wire.link.PeerIdentity
+import org.chestnutloom.wire.link.PeerLink
+import org.chestnutloom.wire.link.PeerRole
+import org.chestnutloom.wire.link.linkServer
+import org.chestnutloom.wire.link.peerLink
+import org.chestnutloom.wire.message.LinkReply
+import org.chestnutloom.wire.message.LinkRequest
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** The links over which gateways ask each other; opened when first needed, and used on the event loop only. */
+internal class PeerLinks(
+    private val self: Member,
+    private val clock: Clock,
+    private val scope: CoroutineScope,
+) {
+    private val identity = PeerIdentity(self.gateway.value, self.incarnation, PeerRole.GATEWAY)
+    private val heartbeats = HeartbeatSource { Heartbeat(sequence = 0) }
+    private val links = HashMap<GatewayId, PeerLink>()
+    private var server: LinkServer? = null
+
+    /** Starts to take links, whose requests [handler] answers. */
+    suspend fun start(handler: LinkHandler) {
+        val opened = linkServer(self.address, identity, handler, heartbeats, OPTIONS, clock, scope)
+        opened.start()
+        server = opened
+    }
+
+    /** Takes no more links. */
+    suspend fun stop() {
+        server?.stop()
+    }
+
+    /** Asks [peer], and returns its first reply if that comes within [timeout]. */
+    suspend fun ask(
+        peer: Member,
+        request: LinkRequest,
+        timeout: Duration,
+    ): Either<LinkFailure, LinkReply> =
+        try {
+            withTimeoutOrNull(timeout) { linkTo(peer).request(request).first() }?.right()
+                ?: LinkFailure.Lost(peer.address, "no reply within $timeout").left()
+        } catch (e: LinkException) {
+            e.failure.left()
+        }
+
+    /** Closes the link to the gateway called [id]. */
+    fun forget(id: GatewayId) {
+        val link = links.remove(id) ?: return
+        scope.launch { link.close() }
+    }
+
+    private fun linkTo(peer: Member): PeerLink {
+        links[peer.gateway]?.let { if (it.address == peer.address) return it }
+        forget(peer.gateway)
+        val link = peerLink(peer.address, identity, peer.gateway.value, heartbeats, OPTIONS, clock, scope)
+        links[peer.gateway] = link
+        return link
+    }
+
+    private companion object {
+        private val OPTIONS =
+            LinkOptions(heartbeatInterval = 1.seconds, silence = Duration.parse("2500ms"), connectTimeout = 1.seconds)
+    }
+}
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
@@ -53,6 +53,10 @@
         return if (cause == null) connection.right() else failure(address, cause).left()
     }
 
+    /** Returns whether the VM at [address] answers that nobody listens there. */
+    public suspend fun isRefused(address: PeerAddress): Boolean =
+        connect(address).fold({ it.wasRefused }, { connection -> false.also { connection.close() } })
+
     private fun initializer(connection: HttpConnection): ChannelInitializer<SocketChannel> =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
@@ -37,6 +37,7 @@
     private var head: HttpRequest? = null
     private var headAt: Duration = Duration.ZERO
     private val body = ByteArrayOutputStream()
+    private var isReadingHead = false
     private var isRefused = false
     private var current: IngressExchange? = null
     private var currentJob: Job? = null
@@ -57,6 +58,18 @@
         watchIdle()
     }
 
+    /** Takes note that bytes arrived, whether or not they complete anything. */
+    fun bytesArrived() {
+        if (!isIdle || isReadingHead || isRefused) return
+        isReadingHead = true
+        watchdog?.cancel()
+        watchdog =
+            scope.launch {
+                delay(limits.current().headerTimeout)
+                if (head == null) refuse(HttpResponseStatus.REQUEST_TIMEOUT)
+            }
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         registry.closed(this)
         watchdog?.cancel()
@@ -87,6 +100,7 @@
 
     private fun readHead(request: HttpRequest) {
         watchdog?.cancel()
+        isReadingHead = false
         head = request
         headAt = clock.elapsed()
         body.reset()
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountMeter.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountMeter.kt
@@ -22,10 +22,24 @@
     private var refilledAt = startedAt
     private val takenByPeer = HashMap<GatewayId, PeerUse>()
 
+    private var reported = 0L
+
     /** Requests that this gateway admitted since the meter was made. */
     var taken: Long = 0
         private set
 
+    /**
+     * Whether so much was admitted since the last report that the other gateways should hear of it at once, as they
+     * could otherwise admit the same part of the burst.
+     */
+    fun isReportDue(fleetSize: Int): Boolean = taken - reported >= capacity / (fleetSize * REPORTS_PER_BURST)
+
+    /** Returns what this gateway admitted, for a report to the others. */
+    fun report(): Long {
+        reported = taken
+        return taken
+    }
+
     /** Changes the limit; what was left counts on up to the new burst. */
     fun resize(
         to: RateLimit,
@@ -112,6 +126,10 @@
     private val capacity: Double
         get() = limit.burst.coerceAtLeast(1).toDouble()
 
+    private companion object {
+        private const val REPORTS_PER_BURST = 8.0
+    }
+
     private class PeerUse(
         val incarnation: String,
     ) {
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountQuotas.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountQuotas.kt
@@ -17,12 +17,12 @@
 /** Admits requests within the rate and burst of their client account; used on the event loop only. */
 public class AccountQuotas(
     private val clock: Clock,
+    private val reporter: UseReporter,
 ) {
     private val meters = HashMap<ClientAccountId, AccountMeter>()
 
-    /** What this gateway admitted so far, for the other gateways. */
-    public val used: List<AccountUse>
-        get() = meters.map { (account, meter) -> AccountUse(account, meter.taken) }
+    /** Returns what this gateway admitted so far, for a report to the other gateways. */
+    public fun report(): List<AccountUse> = meters.map { (account, meter) -> AccountUse(account, meter.report()) }
 
     /** Puts the limits of [configuration] in force. */
     public fun configure(configuration: EdgeConfiguration) {
@@ -34,7 +34,10 @@
     public fun admit(account: AccountSettings): Either<Refusal, Unit> {
         val meter = meters[account.id] ?: return Unit.right()
         val now = clock.elapsed()
-        if (meter.tryTake(now)) return Unit.right()
+        if (meter.tryTake(now)) {
+            if (meter.isReportDue(reporter.fleetSize)) reporter.reportSoon()
+            return Unit.right()
+        }
         val retryAfterMs = meter.timeUntilNext(now).inWholeMilliseconds.coerceIn(SHORTEST_RETRY_MS, LONGEST_RETRY_MS)
         return Refusal(RefusalCode.RATE_LIMITED, Execution.NOT_RUN, "the account is over its rate", retryAfterMs).left()
     }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/TargetDirectory.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/TargetDirectory.kt
@@ -31,13 +31,9 @@
     public fun ready(service: String): List<Target> =
         targets.values.filter { it.entry.service == service && it.takesWork }
 
-    /** Takes [entries] as the whole list. */
-    public fun replaceAll(entries: Collection<TargetEntry>) {
+    /** Takes note that the targets were read. */
+    public fun markKnown() {
         isKnown = true
-        val ids = entries.map { it.id }.toSet()
-        (targets.keys - ids).forEach(::drop)
-        entries.forEach(::put)
-        changed()
     }
 
     /** Takes note of a new or changed [entry]. */
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnFailure.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnFailure.kt
@@ -11,4 +11,7 @@
     public data class StoreAway(
         public val cause: StoreFailure,
     ) : TurnFailure
+
+    /** The store has no such turn, but a gateway that may keep it could not be asked. */
+    public data object GatewayAway : TurnFailure
 }
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnRows.kt
@@ -0,0 +1,73 @@
+package org.chestnutloom.edge.turn
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.chestnutloom.edge.store.ChangeFailure
+import org.chestnutloom.edge.store.RowChange
+import org.chestnutloom.edge.store.RowKey
+import org.chestnutloom.edge.store.RowPut
+import org.chestnutloom.edge.store.RowStore
+import org.chestnutloom.id.CallId
+import org.chestnutloom.store.StoreFailure
+import java.io.ByteArrayOutputStream
+
+/**
+ * Encoded turns in the platform's store.
+ *
+ * Each turn is a partition of its own, named by its id, so that it can be found without knowing its program. A turn
+ * that is larger than a row goes over several rows, which are written and read as one.
+ *
+ * @param rowBytes the most that one row holds
+ */
+public class TurnRows(
+    private val store: RowStore,
+    rowBytes: Int,
+) {
+    /** Rows hold their value as base64, which takes four bytes for three. */
+    private val sliceBytes = rowBytes / BASE64_QUANTUM_BYTES * BASE64_INPUT_BYTES - ROW_OVERHEAD_BYTES
+
+    /** Writes [bytes] as [turn], and returns once the store has acknowledged it. */
+    public suspend fun write(
+        turn: CallId,
+        bytes: ByteArray,
+    ): Either<StoreFailure, Unit> {
+        val puts = (0..bytes.size / sliceBytes).map { RowPut(keyOf(turn, it), slice(bytes, it)) }
+        return store.change(RowChange(puts = puts)).fold(
+            // Without conditions there is nothing that could conflict.
+            { failure -> if (failure is ChangeFailure.Failed) failure.cause.left() else Unit.right() },
+            { Unit.right() },
+        )
+    }
+
+    /** Returns what was written as [turn], or null when the store holds no such turn. */
+    public suspend fun read(turn: CallId): Either<StoreFailure, ByteArray?> =
+        store.read(TABLE, turn.value).map { snapshot ->
+            val slices = snapshot.rows.sortedBy { it.key.key }.mapNotNull { it.value }
+            if (slices.isEmpty()) null else joined(slices)
+        }
+
+    private fun joined(slices: List<ByteArray>): ByteArray {
+        val bytes = ByteArrayOutputStream()
+        slices.forEach(bytes::write)
+        return bytes.toByteArray()
+    }
+
+    private fun slice(
+        bytes: ByteArray,
+        index: Int,
+    ): ByteArray = bytes.copyOfRange(index * sliceBytes, minOf(bytes.size, (index + 1) * sliceBytes))
+
+    private fun keyOf(
+        turn: CallId,
+        index: Int,
+    ): RowKey = RowKey(TABLE, turn.value, index.toString().padStart(INDEX_DIGITS, '0'))
+
+    private companion object {
+        private const val TABLE = "turns"
+        private const val INDEX_DIGITS = 4
+        private const val ROW_OVERHEAD_BYTES = 256
+        private const val BASE64_QUANTUM_BYTES = 4
+        private const val BASE64_INPUT_BYTES = 3
+    }
+}
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
@@ -6,39 +6,41 @@
 import arrow.core.raise.either
 import arrow.core.right
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import org.chestnutloom.edge.codec.CborCodec
-import org.chestnutloom.edge.store.ChangeFailure
-import org.chestnutloom.edge.store.RowChange
-import org.chestnutloom.edge.store.RowKey
-import org.chestnutloom.edge.store.RowPut
-import org.chestnutloom.edge.store.RowStore
-import org.chestnutloom.edge.store.StoredRow
+import org.chestnutloom.edge.codec.MalformedCbor
 import org.chestnutloom.id.CallId
 import org.chestnutloom.id.ClientAccountId
+import org.chestnutloom.platform.log.event
 import org.chestnutloom.platform.log.warnEvent
 import org.chestnutloom.store.StoreFailure
-import java.io.ByteArrayOutputStream
+import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
 
 /**
- * Keeps turns in the platform's store, and the newest ones in memory; used on the event loop only.
+ * Keeps turns so that any gateway can continue them; used on the event loop only.
  *
- * Each turn is a partition of its own, named by its id, so that it can be found without knowing its program. A record
- * that is larger than a row goes over several rows, which are written and read as one.
- *
- * @param rowBytes the most that one row holds
+ * A turn is written to the platform's store before its answer ends. While the store is away, it is copied to another
+ * gateway instead, and both write it once the store is back.
  */
 public class TurnStore(
-    private val store: RowStore,
-    rowBytes: Int,
+    private val rows: TurnRows,
+    private val peers: TurnPeers,
+    private val scope: CoroutineScope,
 ) {
     private val codec = CborCodec(TurnRecord.serializer())
     private val recent = TurnCache(RECENT_BYTES)
-    private val sliceBytes = rowBytes - ROW_OVERHEAD_BYTES
+    private val unsaved = LinkedHashMap<CallId, TurnRecord>()
+
+    /** Turns kept here that the store does not hold yet. */
+    public val unsavedCount: Int
+        get() = unsaved.size
 
     /** Returns the chain that ends with [last], which has to belong to [account]. */
     public suspend fun chain(
@@ -52,62 +54,80 @@
             TurnChain(older.map { loaded -> loaded.bind() } + newest)
         }
 
-    /** Writes [record], and returns once the store has acknowledged it. */
-    public suspend fun save(record: TurnRecord): Either<StoreFailure, Unit> {
+    /** Keeps [record], and returns whether it will outlast this process. */
+    public suspend fun save(record: TurnRecord): Boolean {
         recent.put(record)
-        return write(record)
+        unsaved[record.id] = record
+        val bytes = codec.encode(record)
+        repeat(MAX_TRIES) {
+            val failure = write(record.id, bytes).swap().getOrNull() ?: return true
+            val isCopied = peers.copy(bytes)
+            logger.warnEvent("turn_not_saved", "turn" to record.id, "cause" to failure, "is_copied" to isCopied)
+            if (isCopied) return true.also { keepTrying(record.id, bytes) }
+            delay(RETRY_PAUSE)
+        }
+        keepTrying(record.id, bytes)
+        return false
     }
 
-    private suspend fun write(record: TurnRecord): Either<StoreFailure, Unit> {
-        val bytes = codec.encode(record)
-        val puts = (0..bytes.size / sliceBytes).map { RowPut(keyOf(record.id, it), slice(bytes, it)) }
-        return store.change(RowChange(puts = puts)).fold(
-            { failure -> if (failure is ChangeFailure.Failed) failure.cause.left() else Unit.right() },
-            { Unit.right() },
-        )
+    /** Keeps a turn for another gateway, and writes it once the store is back. */
+    public fun keepCopy(bytes: ByteArray): Either<MalformedCbor, Unit> =
+        codec.decode(bytes).map { record ->
+            recent.put(record)
+            unsaved[record.id] = record
+            keepTrying(record.id, bytes)
+        }
+
+    /** Returns a turn that is kept here and that the store may not hold, encoded, or null. */
+    public fun find(turn: CallId): ByteArray? = (unsaved[turn] ?: recent.get(turn))?.let(codec::encode)
+
+    private fun keepTrying(
+        turn: CallId,
+        bytes: ByteArray,
+    ) {
+        scope.launch {
+            while (turn in unsaved) {
+                delay(BACKGROUND_PAUSE)
+                write(turn, bytes).onRight { logger.event("turn_saved_late", "turn" to turn, "unsaved" to unsaved.size) }
+            }
+        }
     }
 
-    private fun slice(
+    private suspend fun write(
+        turn: CallId,
         bytes: ByteArray,
-        index: Int,
-    ): ByteArray = bytes.copyOfRange(index * sliceBytes, minOf(bytes.size, (index + 1) * sliceBytes))
+    ): Either<StoreFailure, Unit> = rows.write(turn, bytes).onRight { unsaved.remove(turn) }
 
-    private suspend fun load(id: CallId): Either<TurnFailure, TurnRecord> {
-        recent.get(id)?.let { return it.right() }
-        return store.read(TABLE, id.value).fold(
-            { TurnFailure.StoreAway(it).left() },
-            { decode(id, it.rows) },
-        )
+    private suspend fun load(turn: CallId): Either<TurnFailure, TurnRecord> {
+        recent.get(turn)?.let { return it.right() }
+        unsaved[turn]?.let { return it.right() }
+        val bytes = rows.read(turn).getOrElse { return TurnFailure.StoreAway(it).left() }
+        return decode(turn, bytes ?: return search(turn))
     }
 
-    private fun decode(
-        id: CallId,
-        rows: List<StoredRow>,
-    ): Either<TurnFailure, TurnRecord> {
-        if (rows.isEmpty()) return TurnFailure.NotFound.left()
-        val bytes = ByteArrayOutputStream()
-        rows.sortedBy { it.key.key }.forEach { bytes.write(it.value ?: EMPTY) }
-        val record =
-            codec.decode(bytes.toByteArray()).getOrElse {
-                logger.warnEvent("turn_malformed", "turn" to id, "detail" to it.detail)
-                return TurnFailure.NotFound.left()
-            }
-        recent.put(record)
-        return record.right()
-    }
+    private suspend fun search(turn: CallId): Either<TurnFailure, TurnRecord> =
+        when (val found = peers.find(turn)) {
+            is TurnSearch.Found -> decode(turn, found.record)
+            is TurnSearch.Nowhere -> TurnFailure.NotFound.left()
+            is TurnSearch.Unclear -> TurnFailure.GatewayAway.left()
+        }
 
-    private fun keyOf(
-        id: CallId,
-        index: Int,
-    ): RowKey = RowKey(TABLE, id.value, index.toString().padStart(INDEX_DIGITS, '0'))
+    private fun decode(
+        turn: CallId,
+        bytes: ByteArray,
+    ): Either<TurnFailure, TurnRecord> =
+        codec
+            .decode(bytes)
+            .onLeft { logger.warnEvent("turn_malformed", "turn" to turn, "detail" to it.detail) }
+            .onRight(recent::put)
+            .mapLeft { TurnFailure.NotFound }
 
     private companion object {
-        private const val TABLE = "turns"
-        private const val INDEX_DIGITS = 4
-        private const val ROW_OVERHEAD_BYTES = 1_024
+        private const val MAX_TRIES = 4
+        private val RETRY_PAUSE = 150.milliseconds
+        private val BACKGROUND_PAUSE = 400.milliseconds
 
         /** Enough for the turns that callers continue within some seconds at one gateway. */
         private const val RECENT_BYTES = 12L * 1024 * 1024
-        private val EMPTY = ByteArray(0)
     }
 }
--- /dev/null
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetKeeperSpec.kt
@@ -0,0 +1,138 @@
+package org.chestnutloom.edge.budget
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.edge.store.MemoryRowStore
+import org.chestnutloom.id.GatewayId
+import org.chestnutloom.id.Incarnation
+import org.chestnutloom.id.ProgramId
+import kotlin.random.Random
+
+private const val MOST = 100L
+private const val BUDGET = 8 * MOST
+private val PROGRAM = ProgramId("p1")
+
+/** Gateways of one fleet that share a store, each of which gives back claims when another one asks. */
+private class Gateways(
+    private val store: MemoryRowStore,
+) {
+    private val keepers = LinkedHashMap<String, BudgetKeeper>()
+    private val peers =
+        BudgetPeers { program, claims ->
+            claims.forEach { keepers["${it.gateway}/${it.incarnation}"]?.trim(program) }
+        }
+
+    fun start(
+        name: String,
+        incarnation: String = "1",
+    ): BudgetKeeper =
+        BudgetKeeper(store, peers, GatewayId(name), Incarnation(incarnation)).also { keepers["$name/$incarnation"] = it }
+
+    fun kill(
+        name: String,
+        incarnation: String = "1",
+    ) {
+        keepers.remove("$name/$incarnation")
+    }
+}
+
+class BudgetKeeperSpec :
+    DescribeSpec({
+        val store = MemoryRowStore()
+        val gateways = Gateways(store)
+
+        suspend fun BudgetKeeper.reserveTurn() = reserve(PROGRAM, BUDGET, MOST)
+
+        suspend fun BudgetKeeper.runTurn(usedTokens: Long): Boolean {
+            val reservation = reserveTurn().getOrNull() ?: return false
+            reservation.settle(usedTokens)
+            return true
+        }
+
+        isolationMode = io.kotest.core.spec.IsolationMode.InstancePerLeaf
+
+        describe("a program at one gateway") {
+            it("runs until its budget does not hold another whole turn") {
+                val keeper = gateways.start("a")
+                val turns = (1..20).count { keeper.runTurn(usedTokens = MOST) }
+                turns shouldBe 8
+                keeper.reserveTurn().leftOrNull()?.code shouldBe RefusalCode.BUDGET_EXHAUSTED
+            }
+
+            it("counts what turns used rather than what they might have used") {
+                val keeper = gateways.start("a")
+                (1..15).count { keeper.runTurn(usedTokens = MOST / 2) } shouldBe 15
+                keeper.runTurn(usedTokens = MOST / 2) shouldBe false
+            }
+
+            it("counts turns under way at their most") {
+                val keeper = gateways.start("a")
+                (1..20).count { keeper.reserveTurn().isRight() } shouldBe 8
+            }
+
+            it("goes on for some turns while the store is away") {
+                val keeper = gateways.start("a")
+                keeper.runTurn(MOST) shouldBe true
+                store.isAway = true
+                keeper.runTurn(MOST) shouldBe true
+                keeper.runTurn(MOST) shouldBe true
+                (1..10).forEach { _ -> keeper.runTurn(MOST) }
+                keeper.reserveTurn().leftOrNull()?.code shouldBe RefusalCode.STORE_UNAVAILABLE
+            }
+
+            it("loses nothing when the answer to its claim is lost") {
+                val keeper = gateways.start("a")
+                store.losesNextAnswer = true
+                keeper.reserveTurn().leftOrNull()?.code shouldBe RefusalCode.STORE_UNAVAILABLE
+                (1..20).count { keeper.runTurn(MOST) } shouldBe 8
+            }
+        }
+
+        describe("a program at several gateways") {
+            it("gets the whole budget when one of them holds claims that it does not need") {
+                val a = gateways.start("a")
+                val b = gateways.start("b")
+                val c = gateways.start("c")
+                a.runTurn(MOST) shouldBe true
+                b.runTurn(MOST) shouldBe true
+                c.runTurn(MOST) shouldBe true
+                (1..20).count { c.runTurn(MOST) } shouldBe 5
+            }
+
+            it("counts what a lost gateway had claimed as spent") {
+                gateways.start("a").runTurn(MOST)
+                gateways.kill("a")
+                val b = gateways.start("b")
+                (1..20).count { b.runTurn(MOST) }.toLong() shouldBeLessThanOrEqual 7
+            }
+
+            it("counts the claim of its own former run as spent") {
+                gateways.start("a").runTurn(MOST)
+                gateways.kill("a")
+                val restarted = gateways.start("a", incarnation = "2")
+                (1..20).count { restarted.runTurn(MOST) }.toLong() shouldBeLessThanOrEqual 7
+            }
+
+            it("never hands out more than the budget, whatever happens to gateways and store") {
+                (1..200).forEach { seed ->
+                    val random = Random(seed)
+                    val chaosStore = MemoryRowStore()
+                    val fleet = Gateways(chaosStore)
+                    var runs = 1
+                    val keepers = MutableList(3) { fleet.start("g$it") }
+                    var handedOut = 0L
+                    repeat(60) {
+                        val index = random.nextInt(keepers.size)
+                        chaosStore.isAway = random.nextInt(5) == 0
+                        chaosStore.losesNextAnswer = random.nextInt(6) == 0
+                        if (random.nextInt(12) == 0) keepers[index] = fleet.start("g$index", "${++runs}")
+                        val used = random.nextLong(MOST + 1)
+                        if (keepers[index].runTurn(used)) handedOut += used
+                    }
+                    handedOut shouldBeLessThanOrEqual BUDGET
+                }
+            }
+        }
+    })
--- /dev/null
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/store/MemoryRowStore.kt
@@ -0,0 +1,61 @@
+package org.chestnutloom.edge.store
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.chestnutloom.store.StoreFailure
+import kotlin.time.Duration
+
+/** Keeps rows in memory, and fails as a test asks it to. */
+internal class MemoryRowStore : RowStore {
+    private val rows = LinkedHashMap<RowKey, StoredRow>()
+    private var version = 0L
+
+    /** Whether every call is refused. */
+    var isAway = false
+
+    /** Whether the next change takes effect and gets no answer. */
+    var losesNextAnswer = false
+
+    /** Calls that were made, refused ones included. */
+    var calls = 0
+        private set
+
+    override suspend fun read(
+        table: String,
+        partition: String,
+    ): Either<StoreFailure, RowSnapshot> {
+        calls++
+        if (isAway) return AWAY.left()
+        return RowSnapshot(rows.values.filter { it.key.table == table && it.key.partition == partition }, version).right()
+    }
+
+    override suspend fun change(change: RowChange): Either<ChangeFailure, Long> {
+        calls++
+        if (isAway) return ChangeFailure.Failed(AWAY).left()
+        if (change.conditions.any { (rows[it.key]?.version ?: 0) != it.version }) {
+            return ChangeFailure.Conflict(change.conditions.mapNotNull { rows[it.key] }).left()
+        }
+        version++
+        change.puts.forEach { rows[it.key] = StoredRow(it.key, it.value, version) }
+        change.removals.forEach { rows.remove(it) }
+        if (losesNextAnswer) {
+            losesNextAnswer = false
+            return ChangeFailure.Failed(StoreFailure.OutcomeUnknown("the answer was lost")).left()
+        }
+        return version.right()
+    }
+
+    override suspend fun watch(
+        table: String,
+        version: Long,
+        wait: Duration,
+    ): Either<WatchFailure, RowSnapshot> {
+        calls++
+        return WatchFailure.HistoryLost.left()
+    }
+
+    private companion object {
+        private val AWAY = StoreFailure.Unavailable("the store is away")
+    }
+}
--- /dev/null
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/ReadStore.kt
@@ -0,0 +1,12 @@
+package org.chestnutloom.wire.message
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Asks a gateway that reaches the platform's store to read a partition; the reply is one [StoreReply]. */
+@Serializable
+@SerialName("read-store")
+public data class ReadStore(
+    public val table: String,
+    public val partition: String,
+) : LinkRequest
