Name a link's peer by its IP number without a look-up by name

Ruled out: processor time (0.12 cores used), class loading, logging. Change: the peer's address is taken from the bytes of the socket address.

--- a/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/TcpLinkServer.kt
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/TcpLinkServer.kt
@@ -1,7 +1,6 @@
 package org.chestnutloom.wire.link
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
@@ -78,7 +77,7 @@
     }
 
     private suspend fun serve(socket: Socket) {
-        val remote = remoteAddress(socket)
+        val remote = peerAddressOf(socket.remoteAddress)
         val frames = FrameSocket(socket, options.maxFrameBytes, clock)
         try {
             val handshake = withTimeoutOrNull(options.connectTimeout) { frames.answerGreeting(self, clock) }
@@ -114,11 +113,6 @@
         logger.warn { "event=link_malformed peer=${remote.host}:${remote.port} detail=\"${fault.detail}\"" }
     }
 
-    private fun remoteAddress(socket: Socket): PeerAddress {
-        val address = socket.remoteAddress as? InetSocketAddress
-        return PeerAddress(address?.hostname.orEmpty(), address?.port ?: 0)
-    }
-
     private companion object {
         private val ACCEPT_RETRY = 100.milliseconds
     }
