Test the edge gateway against stand-ins that misbehave byte by byte

Found: headers that never end were not noticed (the watch was not in the pipeline); a holder of budget claims with an older row kept them when asked to give them back; a program was told 402 though a holder had not answered.

--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/EdgeFlags.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/settings/EdgeFlags.kt
@@ -8,6 +8,7 @@
 import org.chestnutloom.platform.flag.FlagReader
 import org.chestnutloom.wire.link.PeerAddress
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** The flags of `chestnutloomd edge`. */
@@ -19,6 +20,7 @@
             Flag("health-address", "IP number and port for the balancer's health checks"),
             Flag("store-address", "IP number and port of the platform's store"),
             Flag("row-bytes", "the most bytes that one row of the store holds"),
+            Flag("unready-ms", "how long a planned stop takes connections, while the balancer's health checks fail"),
             Flag("grace-s", "how many seconds a planned stop may take"),
         )
 
@@ -36,6 +38,7 @@
         health = socketAddress("health-address"),
         store = socketAddress("store-address"),
         rowBytes = whole("row-bytes", SMALLEST_ROW_BYTES..Int.MAX_VALUE, default = 65_536),
+        unreadyTime = duration("unready-ms", BALANCER_NOTICE),
         grace = decimal("grace-s", 1.0..LONGEST_GRACE_S, default = 8.0).seconds,
     )
 
@@ -48,5 +51,7 @@
 
 private fun newIncarnation(): Incarnation = Incarnation(java.lang.Long.toHexString(Random.nextLong()))
 
+/** The balancer takes a gateway out after two health checks, a second apart, have failed. */
+private val BALANCER_NOTICE = 2_600.milliseconds
 private const val SMALLEST_ROW_BYTES = 4_096
 private const val LONGEST_GRACE_S = 3_600.0
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -125,7 +125,7 @@
         isStopping = true
         ingress.beginStop()
         val startedAt = clock.elapsed()
-        delay(BALANCER_DELAY)
+        delay(settings.unreadyTime)
         while (ingress.isBusy && clock.elapsed() - startedAt < settings.grace - STOP_MARGIN) delay(STOP_POLL)
         logger.event("ingress_closed", "busy" to ingress.isBusy)
         ingress.stopListening()
@@ -172,8 +172,6 @@
     private companion object {
         private val CONNECT_TIMEOUT = 400.milliseconds
 
-        /** The balancer takes a gateway out after two health checks, a second apart, have failed. */
-        private val BALANCER_DELAY = 2_600.milliseconds
         private val STOP_MARGIN = 1.seconds
         private val HAND_BACK_TIMEOUT = 700.milliseconds
         private val STOP_POLL = 20.milliseconds
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeSettings.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeSettings.kt
@@ -12,6 +12,7 @@
  * @property health where the balancer asks whether the gateway is ready
  * @property store the platform's store
  * @property rowBytes the most that one row of the store holds
+ * @property unreadyTime how long a planned stop goes on taking connections, so that the balancer notices it first
  * @property grace how long a planned stop may take
  */
 public data class EdgeSettings(
@@ -20,5 +21,6 @@
     public val health: PeerAddress,
     public val store: PeerAddress,
     public val rowBytes: Int,
+    public val unreadyTime: Duration,
     public val grace: Duration,
 )
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetKeeper.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetKeeper.kt
@@ -61,13 +61,15 @@
     public suspend fun trim(program: ProgramId) {
         val budget = budgets[program] ?: return
         budget.claiming.withLock {
-            val needed = budget.neededFor(mostTokens = 0)
-            if (needed >= budget.claimedTokens) return
-            // Lowered first, so that no turn starts on what is being given back.
-            budget.claimedTokens = needed
-            val failure = write(program, budget, needed)
-            if (failure is ChangeFailure.Conflict) adopt(program, budget, failure.current)
-            logger.event("budget_trimmed", "program" to program, "claimed" to needed, "failure" to (failure ?: "none"))
+            repeat(MAX_TRIES) {
+                val needed = budget.neededFor(mostTokens = 0)
+                if (needed >= budget.claimedTokens) return
+                // Lowered first, so that no turn starts on what is being given back.
+                budget.claimedTokens = needed
+                val failure = write(program, budget, needed)
+                if (failure is ChangeFailure.Conflict) adopt(program, budget, failure.current)
+                if (failure is ChangeFailure.Failed) return notTrimmed(program, failure)
+            }
         }
     }
 
@@ -101,23 +103,22 @@
         budgetTokens: Long,
         mostTokens: Long,
     ): Either<Refusal, Unit> {
-        var isFresh = false
+        var isTrimmed: Boolean? = null
         repeat(MAX_TRIES) {
             val needed = budget.neededFor(mostTokens)
             if (needed <= budget.claimedTokens) return Unit.right()
             val free = budgetTokens - budget.otherClaims.sumOf { it.tokens }
-            if (needed > free && isFresh) return exhausted(program, needed, free).left()
+            if (needed > free && isTrimmed == true) return exhausted(program, needed, free).left()
+            if (needed > free && isTrimmed == false) return contended().left()
             val failure =
-                if (needed >
-                    free
-                ) {
+                if (needed > free) {
+                    isTrimmed = peers.trim(program, budget.otherClaims)
                     read(program, budget)
                 } else {
                     write(program, budget, sized(needed, free, budgetTokens))
                 }
             if (failure is ChangeFailure.Failed) return storeAway(program, failure).left()
             if (failure is ChangeFailure.Conflict) adopt(program, budget, failure.current)
-            isFresh = needed > free
         }
         return contended().left()
     }
@@ -128,12 +129,11 @@
         budgetTokens: Long,
     ): Long = minOf(freeTokens, neededTokens + budgetTokens / AHEAD_DIVISOR)
 
-    /** Has other gateways give back what they can, reads the row, and returns why that failed, or null. */
+    /** Reads the row, and returns why that failed, or null. */
     private suspend fun read(
         program: ProgramId,
         budget: ProgramBudget,
     ): ChangeFailure? {
-        peers.trim(program, budget.otherClaims)
         val snapshot = store.read(TABLE, program.value).getOrElse { return ChangeFailure.Failed(it) }
         adopt(program, budget, snapshot.rows)
         return null
@@ -199,6 +199,13 @@
         )
     }
 
+    private fun notTrimmed(
+        program: ProgramId,
+        failure: ChangeFailure.Failed,
+    ) {
+        logger.warnEvent("budget_trim_failed", "program" to program, "cause" to failure.cause)
+    }
+
     private fun contended(): Refusal =
         Refusal(
             RefusalCode.STORE_UNAVAILABLE,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
@@ -66,7 +66,14 @@
     ) {
         when (result) {
             is AttemptResult.Answered ->
-                if (result.isWhole) target.health.succeeded() else crashes.brokeOff(call.fingerprint, runOf(target.entry))
+                if (result.isWhole) {
+                    target.health.succeeded()
+                } else {
+                    crashes.brokeOff(
+                        call.fingerprint,
+                        runOf(target.entry),
+                    )
+                }
             is AttemptResult.Lost -> {
                 target.health.failed(clock.elapsed())
                 crashes.brokeOff(call.fingerprint, runOf(target.entry))
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/feed/TargetListener.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/feed/TargetListener.kt
@@ -35,7 +35,10 @@
         listed.clear()
         listed += entries.map { it.id }
         directory.markKnown()
-        directory.all.map { it.entry.id }.filterNot { it in listed }.forEach(::removeOrWait)
+        directory.all
+            .map { it.entry.id }
+            .filterNot { it in listed }
+            .forEach(::removeOrWait)
         entries.forEach(directory::update)
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetBudgets.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetBudgets.kt
@@ -17,11 +17,17 @@
     override suspend fun trim(
         program: ProgramId,
         claims: List<BudgetClaim>,
-    ) {
-        val holders = fleet.peers.filter { peer -> !peer.isSilent && claims.any { isOf(it, peer.member) } }
-        coroutineScope { holders.map { async { links.ask(it.member, TrimBudget(program), TRIM_TIMEOUT) } }.awaitAll() }
+    ): Boolean {
+        val holders = fleet.peers.filter { peer -> claims.any { isOf(it, peer.member) } }
+        val replies = coroutineScope { holders.map { async { ask(it, program) } }.awaitAll() }
+        return replies.all { it }
     }
 
+    private suspend fun ask(
+        holder: Peer,
+        program: ProgramId,
+    ): Boolean = !holder.isSilent && links.ask(holder.member, TrimBudget(program), TRIM_TIMEOUT).isRight()
+
     private fun isOf(
         claim: BudgetClaim,
         member: Member,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressServer.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressServer.kt
@@ -58,6 +58,7 @@
                     override fun initChannel(channel: SocketChannel) {
                         val connection = IngressConnection(handler, limits, registry, clock, loop.scope)
                         channel.pipeline().addLast(
+                            ArrivalWatch(connection),
                             StrictRequestDecoder(decoderConfig()),
                             HttpResponseEncoder(),
                             connection,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/store/RowRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/store/RowRelay.kt
@@ -25,7 +25,8 @@
 internal fun relayed(rows: List<StoredRow>): List<RelayedRow> = rows.map { relayed(it.key, it.value, it.version) }
 
 /** Returns the rows that another gateway sent. */
-internal fun storedRows(rows: List<RelayedRow>): List<StoredRow> = rows.map { StoredRow(keyOf(it), it.value, it.version) }
+internal fun storedRows(rows: List<RelayedRow>): List<StoredRow> =
+    rows.map { StoredRow(keyOf(it), it.value, it.version) }
 
 /** Returns [failure] as it is sent to another gateway. */
 internal fun relayed(failure: StoreFailure): StoreReply.Failed =
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
@@ -88,7 +88,10 @@
         scope.launch {
             while (turn in unsaved) {
                 delay(BACKGROUND_PAUSE)
-                write(turn, bytes).onRight { logger.event("turn_saved_late", "turn" to turn, "unsaved" to unsaved.size) }
+                write(
+                    turn,
+                    bytes,
+                ).onRight { logger.event("turn_saved_late", "turn" to turn, "unsaved" to unsaved.size) }
             }
         }
     }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetKeeperSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetKeeperSpec.kt
@@ -22,13 +22,22 @@
     private val peers =
         BudgetPeers { program, claims ->
             claims.forEach { keepers["${it.gateway}/${it.incarnation}"]?.trim(program) }
+            !areHoldersDeaf
         }
 
+    /** Whether gateways that hold claims do not answer in time. */
+    var areHoldersDeaf = false
+
     fun start(
         name: String,
         incarnation: String = "1",
     ): BudgetKeeper =
-        BudgetKeeper(store, peers, GatewayId(name), Incarnation(incarnation)).also { keepers["$name/$incarnation"] = it }
+        BudgetKeeper(
+            store,
+            peers,
+            GatewayId(name),
+            Incarnation(incarnation),
+        ).also { keepers["$name/$incarnation"] = it }
 
     fun kill(
         name: String,
@@ -101,6 +110,26 @@
                 (1..20).count { c.runTurn(MOST) } shouldBe 5
             }
 
+            it("gets what a holder gives back although the holder knows an older row") {
+                val a = gateways.start("a")
+                val b = gateways.start("b")
+
+                suspend fun turnOf(keeper: BudgetKeeper) =
+                    keeper.reserve(PROGRAM, 4 * MOST, MOST).onRight { it.settle(MOST) }
+                listOf(b, a, b, a).map { turnOf(it).isRight() } shouldBe listOf(true, true, true, true)
+                turnOf(b).leftOrNull()?.code shouldBe RefusalCode.BUDGET_EXHAUSTED
+            }
+
+            it("is not told that its budget is spent while a holder of claims does not answer") {
+                val a = gateways.start("a")
+                gateways.start("b").runTurn(MOST)
+                gateways.areHoldersDeaf = true
+                (1..20).forEach { _ -> a.runTurn(MOST) }
+                a.reserveTurn().leftOrNull()?.code shouldBe RefusalCode.STORE_UNAVAILABLE
+                gateways.areHoldersDeaf = false
+                a.reserveTurn().leftOrNull()?.code shouldBe RefusalCode.BUDGET_EXHAUSTED
+            }
+
             it("counts what a lost gateway had claimed as spent") {
                 gateways.start("a").runTurn(MOST)
                 gateways.kill("a")
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/quota/AccountMeterSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/quota/AccountMeterSpec.kt
@@ -74,7 +74,8 @@
     }
 
     /** The most requests that were admitted in any [window]. */
-    fun mostIn(window: Duration): Int = admitted.maxOfOrNull { start -> admitted.count { it >= start && it < start + window } } ?: 0
+    fun mostIn(window: Duration): Int =
+        admitted.maxOfOrNull { start -> admitted.count { it >= start && it < start + window } } ?: 0
 }
 
 class AccountMeterSpec :
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/store/MemoryRowStore.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/store/MemoryRowStore.kt
@@ -27,7 +27,10 @@
     ): Either<StoreFailure, RowSnapshot> {
         calls++
         if (isAway) return AWAY.left()
-        return RowSnapshot(rows.values.filter { it.key.table == table && it.key.partition == partition }, version).right()
+        return RowSnapshot(
+            rows.values.filter { it.key.table == table && it.key.partition == partition },
+            version,
+        ).right()
     }
 
     override suspend fun change(change: RowChange): Either<ChangeFailure, Long> {
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/RowStoreStandIn.kt
@@ -0,0 +1,158 @@
+package org.chestnutloom.fakes.edge
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import kotlinx.serialization.json.put
+import org.chestnutloom.fakes.StandIn
+import org.chestnutloom.fakes.http.HttpStandIn
+import java.util.Base64
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Speaks the protocol of the users' row store, and keeps its rows in memory. */
+public class RowStoreStandIn : StandIn {
+    private val rows = VersionedRows()
+    private val server = HttpStandIn(0) { install(this) }
+
+    /** How calls fail now. */
+    @Volatile
+    public var fault: StoreFault = StoreFault.NONE
+
+    override val port: Int
+        get() = server.port
+
+    override suspend fun start() {
+        server.start()
+    }
+
+    override suspend fun stop() {
+        server.stop()
+    }
+
+    /** Writes [text] as the row [key] of [table], as an operator or a target does. */
+    public fun put(
+        table: String,
+        key: String,
+        text: String,
+    ) {
+        val value = Base64.getEncoder().encodeToString(text.encodeToByteArray())
+        rows.change(emptyList(), listOf(NamedRow(table, "", key, value, version = 0)), emptyList())
+    }
+
+    /** Removes the row [key] of [table]. */
+    public fun remove(
+        table: String,
+        key: String,
+    ) {
+        rows.change(emptyList(), emptyList(), listOf(NamedRow(table, "", key, value = null, version = 0)))
+    }
+
+    /** Forgets which rows changed, so that watches have to read again. */
+    public fun forgetHistory() {
+        rows.forgetHistory()
+    }
+
+    private fun install(route: Route) {
+        route.get("/v1/rows-get") { call.unlessFaulty { read(it) } }
+        route.get("/v1/rows-feed") { call.unlessFaulty { feed(it) } }
+        route.post("/v1/rows-tx") { call.unlessFaulty { change(it) } }
+    }
+
+    private suspend fun ApplicationCall.unlessFaulty(serve: suspend (ApplicationCall) -> Unit) {
+        when (fault) {
+            StoreFault.REFUSE -> respondText("", status = HttpStatusCode.ServiceUnavailable)
+            StoreFault.SILENT -> awaitCancellation()
+            else -> serve(this)
+        }
+    }
+
+    private suspend fun read(call: ApplicationCall) {
+        val parameters = call.request.queryParameters
+        val found = rows.read(parameters["table"].orEmpty(), parameters["part"].orEmpty())
+        call.respondRows(HttpStatusCode.OK, found)
+    }
+
+    private suspend fun feed(call: ApplicationCall) {
+        val table = call.request.queryParameters["table"].orEmpty()
+        val after =
+            call.request.queryParameters["after"]
+                .orEmpty()
+                .toLong()
+        val waitMs =
+            call.request.queryParameters["waitMs"]
+                .orEmpty()
+                .toLong()
+        if (!rows.knowsHistoryAfter(after)) return call.respondText("", status = HttpStatusCode.Gone)
+        val changed =
+            withTimeoutOrNull(waitMs.milliseconds) {
+                while (rows.changedAfter(table, after).isEmpty()) delay(POLL)
+                rows.changedAfter(table, after)
+            }
+        call.respondRows(HttpStatusCode.OK, changed.orEmpty())
+    }
+
+    private suspend fun change(call: ApplicationCall) {
+        val body = Json.parseToJsonElement(call.receiveText()).jsonObject
+        val conditions = body.rows("expectedRevision")
+        val conflict = rows.change(conditions, body.rows("put"), body.rows("remove"))
+        if (fault == StoreFault.LOSE_ANSWERS) awaitCancellation()
+        val status = if (conflict == null) HttpStatusCode.OK else HttpStatusCode.PreconditionFailed
+        call.respondRows(status, conflict.orEmpty())
+    }
+
+    private fun JsonObject.rows(name: String): List<NamedRow> =
+        get(name)?.jsonArray.orEmpty().map { it.jsonObject }.map { row ->
+            NamedRow(
+                table = row.getValue("table").jsonPrimitive.content,
+                partition = row.getValue("part").jsonPrimitive.content,
+                key = row.getValue("key").jsonPrimitive.content,
+                value = row["value"]?.jsonPrimitive?.content,
+                version = row["ver"]?.jsonPrimitive?.long ?: 0,
+            )
+        }
+
+    private suspend fun ApplicationCall.respondRows(
+        status: HttpStatusCode,
+        found: List<NamedRow>,
+    ) {
+        val body =
+            buildJsonObject {
+                put("rows", JsonArray(found.map(::encode)))
+                put("hasMore", JsonPrimitive(false))
+                put("ver", rows.version)
+                put("nowMs", System.nanoTime() / NANOS_PER_MS)
+            }
+        respondText(body.toString(), ContentType.Application.Json, status)
+    }
+
+    private fun encode(row: NamedRow): JsonObject =
+        buildJsonObject {
+            put("table", row.table)
+            put("part", row.partition)
+            put("key", row.key)
+            put("ver", row.version)
+            if (row.value == null) put("tombstone", true) else put("value", row.value)
+        }
+
+    private companion object {
+        private val POLL = 5.milliseconds
+        private const val NANOS_PER_MS = 1_000_000L
+    }
+}
--- /dev/null
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedTarget.kt
@@ -0,0 +1,120 @@
+package org.chestnutloom.fakes.edge
+
+import io.ktor.http.cio.Request
+import io.ktor.http.cio.parseRequest
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.jvm.javaio.toByteReadChannel
+import io.ktor.utils.io.readFully
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.chestnutloom.fakes.StandIn
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** A target whose answers a test writes byte for byte, faulty ones included. */
+public class ScriptedTarget(
+    private val script: (ReceivedRequest) -> ScriptedAnswer,
+) : StandIn {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private var listening: ServerSocket? = null
+    private val open = CopyOnWriteArrayList<Socket>()
+
+    /** The requests that were read whole, in order. */
+    public val received: MutableList<ReceivedRequest> = CopyOnWriteArrayList()
+
+    /** Connections that were accepted so far. */
+    @Volatile
+    public var connections: Int = 0
+        private set
+
+    override val port: Int
+        get() = checkNotNull(listening).localPort
+
+    override suspend fun start() {
+        val socket = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+        listening = socket
+        scope.launch { accept(socket) }
+    }
+
+    override suspend fun stop() {
+        listening?.close()
+        open.forEach { it.close() }
+        scope.cancel()
+    }
+
+    private fun accept(server: ServerSocket) {
+        while (!server.isClosed) {
+            val socket =
+                try {
+                    server.accept()
+                } catch (_: IOException) {
+                    // The server was stopped.
+                    return
+                }
+            connections++
+            open += socket
+            scope.launch { serve(socket) }
+        }
+    }
+
+    private suspend fun serve(socket: Socket) {
+        try {
+            val input = socket.getInputStream().toByteReadChannel()
+            while (true) {
+                val request = read(input) ?: break
+                received += request
+                if (!answer(socket, script(request))) break
+            }
+        } catch (_: IOException) {
+            // The caller closed the connection, which the test sees at its own end.
+        } finally {
+            socket.close()
+        }
+    }
+
+    private suspend fun read(input: ByteReadChannel): ReceivedRequest? {
+        val head = parseRequest(input) ?: return null
+        val headers = headersOf(head)
+        val body = ByteArray(headers["content-length"]?.toInt() ?: 0)
+        input.readFully(body)
+        return ReceivedRequest(head.method.value, head.uri.toString(), headers, body)
+    }
+
+    private fun headersOf(head: Request): Map<String, String> {
+        val headers = HashMap<String, String>()
+        for (index in 0 until head.headers.size) {
+            headers[
+                head.headers
+                    .nameAt(index)
+                    .toString()
+                    .lowercase(),
+            ] = head.headers.valueAt(index).toString()
+        }
+        return headers
+    }
+
+    private suspend fun answer(
+        socket: Socket,
+        answer: ScriptedAnswer,
+    ): Boolean {
+        val output = socket.getOutputStream()
+        for (piece in answer.pieces) {
+            delay(answer.pause)
+            output.write(piece.encodeToByteArray())
+            output.flush()
+        }
+        if (answer.end == AnswerEnd.RESET) socket.setSoLinger(true, 0)
+        return answer.end == AnswerEnd.KEEP
+    }
+
+    private companion object {
+        private const val BACKLOG = 64
+    }
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
@@ -0,0 +1,142 @@
+package org.chestnutloom.integration.edge
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import org.chestnutloom.adapter.platformAdapter
+import org.chestnutloom.edge.EdgeSettings
+import org.chestnutloom.edge.edgeNode
+import org.chestnutloom.edge.fleet.Member
+import org.chestnutloom.fakes.edge.ReceivedRequest
+import org.chestnutloom.fakes.edge.RowStoreStandIn
+import org.chestnutloom.fakes.edge.ScriptedAnswer
+import org.chestnutloom.fakes.edge.ScriptedTarget
+import org.chestnutloom.id.GatewayId
+import org.chestnutloom.id.Incarnation
+import org.chestnutloom.platform.node.Node
+import org.chestnutloom.time.systemClock
+import org.chestnutloom.wire.link.PeerAddress
+import java.net.DatagramSocket
+import java.net.ServerSocket
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Edge gateways of one test, with a stand-in of the row store and scripted targets. */
+class EdgeFleet {
+    val store = RowStoreStandIn()
+    private val targets = ArrayList<ScriptedTarget>()
+    private val nodes = LinkedHashMap<String, Node>()
+    private var starts = 0
+
+    suspend fun start() {
+        store.start()
+    }
+
+    suspend fun stop() {
+        nodes.values.forEach { it.stopGracefully() }
+        targets.forEach { it.stop() }
+        store.stop()
+    }
+
+    /** Starts the gateway called [name] and returns the port for callers. */
+    suspend fun gateway(name: String): Int {
+        val node = edgeNode(settingsOf(name), platformAdapter(), systemClock(), SimpleMeterRegistry())
+        nodes[name] = node
+        node.start()
+        eventually { node.isReady }
+        return checkNotNull(node.endpoints.httpPort)
+    }
+
+    /** Stops the gateway called [name] as planned. */
+    suspend fun stopGateway(name: String) {
+        nodes.remove(name)?.stopGracefully()
+    }
+
+    /** Starts a target of [service] that answers by [script]. */
+    suspend fun target(
+        id: String,
+        service: String = PLAIN,
+        script: (ReceivedRequest) -> ScriptedAnswer,
+    ): ScriptedTarget {
+        val target = ScriptedTarget(script)
+        targets += target
+        target.start()
+        announce(id, service, target.port)
+        return target
+    }
+
+    /** Writes the row of a target. */
+    fun announce(
+        id: String,
+        service: String,
+        port: Int,
+        state: String = "ready",
+    ) {
+        store.put(
+            "servers",
+            id,
+            """{"service":"$service","address":"127.0.0.1:$port","zone":"siracusa","version":"v1","slots":4,""" +
+                """"state":"$state","coldRemainingMs":0,"sequence":1,"born":1700000000000}""",
+        )
+    }
+
+    /** Puts a configuration in force. */
+    fun configure(
+        version: Long,
+        ratePerSecond: Int = 0,
+        burst: Int = 0,
+        extraRoutes: String = "",
+        keys: String = "\"key-a\"",
+    ) {
+        store.put(
+            "op",
+            "config",
+            """{"version":$version,"routes":[
+            ${route("plain", "idempotent", PLAIN, 3)},${route("pay", "non_idempotent", PLAIN, 2)},
+            ${route("chat", "streaming", LLM, 1, "\"retained\":true,\"retentionS\":60")}$extraRoutes],
+            "services":[{"name":"$PLAIN","healthPath":"/health","maxConnections":50},
+             {"name":"$LLM","healthPath":"/health","maxConnections":50,"engine":{"slots":4,"kvCapacityTokens":10000,
+              "tokensPerEvent":10}}],
+            "limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000000,"headerTimeoutMs":1000,"idleTimeoutMs":15000},
+            "tenants":[{"name":"account-a","apiKeys":[$keys],"ratePerS":$ratePerSecond,"burst":$burst},
+             {"name":"account-b","apiKeys":["key-b"]}]}""",
+        )
+    }
+
+    /** Returns the text of a route whose prefix is [name]. */
+    fun route(
+        name: String,
+        kind: String,
+        service: String,
+        maxAttempts: Int,
+        more: String = "\"retained\":false",
+    ): String =
+        """{"name":"$name","host":"a.example","prefix":"/$name/","routeKind":"$kind","timeoutMs":2000,""" +
+            """"targetLatencyMs":200,"priority":0,"service":"$service","maxAttempts":$maxAttempts,$more}"""
+
+    private fun settingsOf(name: String): EdgeSettings =
+        EdgeSettings(
+            self =
+                Member(
+                    gateway = GatewayId(name),
+                    incarnation = Incarnation("${++starts}"),
+                    failureDomain = "siracusa",
+                    address = PeerAddress("127.0.0.1", freePort()),
+                ),
+            callers = PeerAddress("127.0.0.1", 0),
+            health = PeerAddress("127.0.0.1", 0),
+            store = PeerAddress("127.0.0.1", store.port),
+            rowBytes = 65_536,
+            unreadyTime = 50.milliseconds,
+            grace = 8.seconds,
+        )
+
+    /** Returns a port that is free for TCP and UDP. */
+    private fun freePort(): Int =
+        ServerSocket(0).use { socket ->
+            DatagramSocket(socket.localPort).use { it.localPort }
+        }
+
+    companion object {
+        const val PLAIN = "shop"
+        const val LLM = "engines"
+    }
+}
--- /dev/null
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TurnSpec.kt
@@ -0,0 +1,128 @@
+package org.chestnutloom.integration.edge
+
+import io.kotest.core.spec.IsolationMode
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import org.chestnutloom.fakes.edge.ScriptedAnswer
+import org.chestnutloom.fakes.edge.StoreFault
+import kotlin.time.Duration.Companion.milliseconds
+
+class TurnSpec :
+    DescribeSpec({
+        isolationMode = IsolationMode.InstancePerLeaf
+        val fleet = EdgeFleet()
+
+        beforeEach {
+            fleet.start()
+            fleet.configure(version = 1)
+        }
+        afterEach { fleet.stop() }
+
+        suspend fun RawCaller.turn(
+            id: String,
+            input: String,
+            previous: String? = null,
+            key: String = "key-a",
+            program: String = "p-$id",
+            budget: Int = 1_000,
+        ): RawAnswer {
+            val budgets =
+                mapOf(
+                    "Chestnutloom-Program-Id" to program,
+                    "Chestnutloom-Token-Budget" to "$budget",
+                    "Chestnutloom-Token-Usage" to "10,100",
+                )
+            val chain = previous?.let { mapOf("Chestnutloom-Previous-Turn" to it) }.orEmpty()
+            return send("POST", "/chat/1", input, id, key, budgets + chain)
+        }
+
+        describe("a turn that continues another") {
+            it("brings the target everything that was said, wherever it arrives") {
+                val target = fleet.target("e-1", EdgeFleet.LLM) { stream(it, listOf("one", "two")) }
+                val first = RawCaller(fleet.gateway("g1"))
+                first.turn("t1", "hello ").isChunkedWhole shouldBe true
+                first.turn("t2", "more ", previous = "t1").status shouldBe 200
+                fleet.stopGateway("g1")
+                val second = RawCaller(fleet.gateway("g2"))
+                second.turn("t3", "last", previous = "t2").status shouldBe 200
+                target.received.map { it.body.decodeToString() } shouldBe
+                    listOf("hello ", "hello one\ntwo\nmore ", "hello one\ntwo\nmore one\ntwo\nlast")
+            }
+
+            it("is refused when there is no such turn or when it is another account's") {
+                fleet.target("e-1", EdgeFleet.LLM) { stream(it, listOf("one")) }
+                val caller = RawCaller(fleet.gateway("g1"))
+                caller.turn("t1", "hello").status shouldBe 200
+                caller.turn("t2", "x", previous = "nothing").status shouldBe 404
+                caller.turn("t3", "x", previous = "t1", key = "key-b").status shouldBe 404
+            }
+
+            it("may be larger than a row of the store") {
+                val target = fleet.target("e-1", EdgeFleet.LLM) { stream(it, listOf("one")) }
+                val long = "x".repeat(200_000)
+                RawCaller(fleet.gateway("g1")).turn("t1", long).status shouldBe 200
+                RawCaller(fleet.gateway("g2")).turn("t2", "y", previous = "t1").status shouldBe 200
+                target.received
+                    .last()
+                    .body
+                    .decodeToString() shouldBe long + "one\ny"
+            }
+
+            it("is found at another gateway while the store is away") {
+                fleet.target("e-1", EdgeFleet.LLM) { stream(it, listOf("one")) }
+                val first = RawCaller(fleet.gateway("g1"))
+                val second = RawCaller(fleet.gateway("g2"))
+                first.turn("t0", "a", program = "p").status shouldBe 200
+                second.turn("t00", "a", program = "q").status shouldBe 200
+                delay(400.milliseconds)
+                fleet.store.fault = StoreFault.REFUSE
+                first.turn("t1", "b", previous = "t0", program = "p").isChunkedWhole shouldBe true
+                fleet.store.fault = StoreFault.NONE
+                eventually { second.turn("t2", "c", previous = "t1", program = "q").status == 200 }
+            }
+        }
+
+        describe("a turn whose answer breaks off") {
+            it("does not look complete and is not kept") {
+                fleet.target("e-1", EdgeFleet.LLM) { stream(it, listOf("one", "two"), isWhole = false) }
+                val caller = RawCaller(fleet.gateway("g1"))
+                val answer = caller.turn("t1", "hello")
+                answer.text shouldContain "data: two"
+                answer.isChunkedWhole shouldBe false
+                caller.turn("t2", "x", previous = "t1").status shouldBe 404
+            }
+        }
+
+        describe("a program's budget") {
+            it("ends with a refusal that says that the turn was not run") {
+                val target = fleet.target("e-1", EdgeFleet.LLM) { stream(it, List(10) { "x" }) }
+                val first = RawCaller(fleet.gateway("g1"))
+                val second = RawCaller(fleet.gateway("g2"))
+                val statuses =
+                    (1..6).map {
+                        listOf(
+                            first,
+                            second,
+                        )[it % 2].turn("t$it", "x", program = "p", budget = 400).status
+                    }
+                statuses shouldBe listOf(200, 200, 200, 200, 402, 402)
+                target.received.size shouldBe 4
+            }
+        }
+
+        describe("a planned stop") {
+            it("lets an answer under way end and takes no connections after") {
+                fleet.target("e-1", EdgeFleet.LLM) { request ->
+                    ScriptedAnswer(stream(request, List(10) { "x" }).pieces, pause = 300.milliseconds)
+                }
+                val caller = RawCaller(fleet.gateway("g1"))
+                val answer = async { caller.turn("t1", "hello") }
+                delay(300.milliseconds)
+                fleet.stopGateway("g1")
+                answer.await().isChunkedWhole shouldBe true
+            }
+        }
+    })
