Probe a store that was away, so that its return is noticed

Cause: while the store was away for all, calls that are not watches were not made at all; a watch that had lost its history reads the table first, so nothing ever asked the store again. Ruled out: the hand-over of copies (34 of 34 copied), the watch's timeout. Change: one call in 150 ms goes to the store while it is away. TurnSpec has the case, which timed out before.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/RelayingRowStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/RelayingRowStore.kt
@@ -77,8 +77,12 @@
         return WatchFailure.HistoryLost.left()
     }
 
-    /** The watches go on asking, so that a store that is back is noticed. */
-    private fun isWorthTrying(): Boolean = !contact.isLost || (helper() == null && !contact.isAway)
+    /** While the store is away, a call now and then still goes to it, so that its return is noticed. */
+    private fun isWorthTrying(): Boolean {
+        if (!contact.isLost) return true
+        if (helper() == null && !contact.isAway) return true
+        return contact.isProbeDue()
+    }
 
     private suspend fun ask(request: LinkRequest): StoreReply? {
         val helper = helper() ?: return null
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/store/StoreContact.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/store/StoreContact.kt
@@ -13,7 +13,7 @@
 public class StoreContact(
     private val clock: Clock,
 ) {
-    private val listeners = mutableListOf<() -> Unit>()
+    private var probedAt: Duration? = null
     private var answeredAt: Duration? = null
     private var lostAt: Duration? = null
     private var regainedAt: Duration? = null
@@ -38,9 +38,12 @@
     public val isFresh: Boolean
         get() = age.let { it != null && it < FRESH_FOR }
 
-    /** Calls [listener] each time that the store answers after it had failed. */
-    public fun onRegained(listener: () -> Unit) {
-        listeners += listener
+    /** Whether it is time to see whether the store is back; at most one caller in each interval is told so. */
+    public fun isProbeDue(): Boolean {
+        val now = clock.elapsed()
+        val isDue = probedAt.let { it == null || now - it >= PROBE_INTERVAL }
+        if (isDue) probedAt = now
+        return isDue
     }
 
     /** Takes note of a proper answer. */
@@ -51,7 +54,6 @@
         if (since == null) return
         if (clock.elapsed() - since > OUTAGE) regainedAt = answeredAt
         logger.event("store_regained", "after_ms" to (clock.elapsed() - since).inWholeMilliseconds)
-        listeners.forEach { it() }
     }
 
     /** Takes note of a call that the store refused or did not answer. */
@@ -64,6 +66,7 @@
     private companion object {
         /** Shorter gaps do not let the rows of targets expire. */
         private val OUTAGE = 1_000.milliseconds
+        private val PROBE_INTERVAL = 150.milliseconds
         private val AWAY_AFTER = 500.milliseconds
 
         /** A little longer than a watch takes to come back without news. */
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TurnSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TurnSpec.kt
@@ -6,9 +6,11 @@
 import io.kotest.matchers.string.shouldContain
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
 import org.chestnutloom.fakes.edge.ScriptedAnswer
 import org.chestnutloom.fakes.edge.StoreFault
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class TurnSpec :
     DescribeSpec({
@@ -85,6 +87,23 @@
             }
         }
 
+        describe("a store that was away for long") {
+            it("is used again, also when it has lost its history meanwhile") {
+                fleet.target("e-1", EdgeFleet.LLM) { stream(it, listOf("one")) }
+                val callers = listOf("g1", "g2").map { RawCaller(fleet.gateway(it)) }
+                callers.map { it.turn("t1", "a").isChunkedWhole } shouldBe listOf(true, true)
+                // Each gateway believes for a moment that the other one still reaches the store.
+                fleet.store.fault = StoreFault.REFUSE
+                fleet.store.forgetHistory()
+                delay(3_000.milliseconds)
+                callers.map { it.turn("t2", "b").status } shouldBe listOf(503, 503)
+                fleet.store.fault = StoreFault.NONE
+                withTimeout(20.seconds) {
+                    callers.forEach { caller -> eventually { caller.turn("t3", "c").isChunkedWhole } }
+                }
+            }
+        }
+
         describe("a turn whose answer breaks off") {
             it("does not look complete and is not kept") {
                 fleet.target("e-1", EdgeFleet.LLM) { stream(it, listOf("one", "two"), isWhole = false) }
