Serve counters and times of requests, and write logs from a bounded queue

Cause: the edge gateway had no metrics of its own, and a slow reader of standard output could stop the event loop. Ruled out: percentile histograms, whose buckets cost more than the rest of the registry.

--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/DaemonProcess.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/DaemonProcess.kt
@@ -1,10 +1,12 @@
 package org.chestnutloom.daemon
 
+import ch.qos.logback.classic.LoggerContext
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
 import org.chestnutloom.platform.flag.UsageFault
 import org.chestnutloom.platform.log.warnEvent
+import org.slf4j.LoggerFactory
 import sun.misc.Signal
 import kotlin.system.exitProcess
 
@@ -44,6 +46,7 @@
         daemon
     } catch (e: Exception) {
         daemonLogger().warnEvent("start_failed", "cause" to e.javaClass.simpleName, "detail" to e.message.orEmpty())
+        flushLogs()
         exitProcess(EXIT_START_FAILED)
     }
 
@@ -62,8 +65,14 @@
             daemonLogger().warnEvent("stop_failed", "cause" to e.javaClass.simpleName, "detail" to e.message.orEmpty())
             EXIT_STOP_FAILED
         }
+    flushLogs()
     Runtime.getRuntime().halt(exitCode)
 }
 
+/** Waits until the lines that are queued have been written. */
+private fun flushLogs() {
+    (LoggerFactory.getILoggerFactory() as? LoggerContext)?.stop()
+}
+
 /** Returns the logger, which may be made only after its configuration was named. */
 private fun daemonLogger() = KotlinLogging.logger("org.chestnutloom.daemon")
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -10,6 +10,7 @@
 import org.chestnutloom.edge.budget.BudgetKeeper
 import org.chestnutloom.edge.call.AnswerRelay
 import org.chestnutloom.edge.call.CallDispatcher
+import org.chestnutloom.edge.call.CallMetrics
 import org.chestnutloom.edge.call.CallService
 import org.chestnutloom.edge.call.TargetAttempts
 import org.chestnutloom.edge.codec.CborCodec
@@ -68,7 +69,7 @@
     private val settings: EdgeSettings,
     private val adapter: EdgeAdapter,
     private val clock: Clock,
-    metrics: MeterRegistry,
+    private val metrics: MeterRegistry,
 ) : Node {
     private val loop = EdgeLoop()
     private val connector = HttpConnector(loop, clock, CONNECT_TIMEOUT)
@@ -105,6 +106,7 @@
         beats.fleet = fleet
         beats.turns = turns
         beats.links = links
+        registerGauges()
         configurations.onChange(beats.quotas::configure)
         health.start()
         callerPort = ingress.start()
@@ -116,6 +118,17 @@
         watch(Registration.TABLE, MemberListener(memberCodec, fleet))
     }
 
+    private fun registerGauges() {
+        metrics.gauge("chestnutloom.edge.waiting", scheduler) { it.waitingCount.toDouble() }
+        metrics.gauge("chestnutloom.edge.turns.unsaved", turns) { it.unsavedCount.toDouble() }
+        metrics.gauge("chestnutloom.edge.fleet.size", fleet) { it.size.toDouble() }
+        metrics.gauge(
+            "chestnutloom.edge.configuration.version",
+            configurations,
+        ) { (it.current?.version ?: 0).toDouble() }
+        metrics.gauge("chestnutloom.edge.store.lost", contact) { if (it.isLost) 1.0 else 0.0 }
+    }
+
     override suspend fun stopGracefully() {
         withContext(loop.scope.coroutineContext) { finish() }
         loop.close()
@@ -154,6 +167,7 @@
             turns,
             dispatcher,
             crashes,
+            CallMetrics(metrics),
             clock,
             Random.Default,
         )
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -39,6 +39,7 @@
     private val turns: TurnStore,
     private val dispatcher: CallDispatcher,
     private val crashes: CrashGuard,
+    private val metrics: CallMetrics,
     private val clock: Clock,
     private val random: Random,
 ) : CallerHandler {
@@ -56,6 +57,7 @@
             throw e
         } finally {
             trace.reservation?.settle(usedTokens = 0)
+            metrics.record(trace, clock.elapsed() - trace.startedAt)
             log(request, trace)
         }
     }
@@ -204,6 +206,7 @@
             "route" to (trace.route?.name ?: "none"),
             "account" to (trace.account?.id ?: "none"),
             "program" to (trace.head?.program ?: "none"),
+            "previous" to (trace.head?.previousTurn ?: "none"),
             "configuration" to trace.configurationVersion,
             "target" to (trace.call?.lastTarget ?: "none"),
             "runs" to (trace.call?.runs ?: 0),
