Answer the requests that were read before one that cannot be taken

Cause: found by reading: bytes that are no request, sent after a request on the same connection, closed the connection while the first answer was on its way. Change: the refusal is sent after the answers that are owed; the pool's unused counter of connections is removed. Ruled out: refusing at once, which cuts a request that a target runs.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
@@ -20,21 +20,14 @@
     private val idle = ArrayDeque<HttpConnection>()
     private var isClosed = false
 
-    /** Connections that serve an exchange now. */
-    public var inUse: Int = 0
-        private set
-
     /** Returns an open connection, the most recently used one first, or opens one. */
     public suspend fun acquire(): Either<ConnectFailure, HttpConnection> {
-        val kept = takeIdle()
-        inUse++
-        if (kept != null) return kept.right()
-        return connector.connect(address).onLeft { inUse-- }
+        takeIdle()?.let { return it.right() }
+        return connector.connect(address)
     }
 
     /** Takes [connection] back after its exchange. */
     public fun release(connection: HttpConnection) {
-        inUse--
         if (isClosed) return connection.close()
         idle.addLast(connection)
         scope.launch { retire(connection) }
@@ -49,7 +42,6 @@
 
     /** Closes [connection], whose exchange did not end well. */
     public fun discard(connection: HttpConnection) {
-        inUse--
         connection.close()
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
@@ -39,13 +39,14 @@
     private val body = ByteArrayOutputStream()
     private var isReadingHead = false
     private var isRefused = false
+    private var refusal: HttpResponseStatus? = null
     private var current: IngressExchange? = null
     private var currentJob: Job? = null
     private var watchdog: Job? = null
 
     /** Whether no request is being read or answered. */
     val isIdle: Boolean
-        get() = current == null && head == null && pending.isEmpty()
+        get() = current == null && head == null && pending.isEmpty() && refusal == null
 
     /** Closes the connection when nothing is under way on it. */
     fun closeIfIdle() {
@@ -140,7 +141,7 @@
     }
 
     private fun answerNext() {
-        val request = pending.removeFirstOrNull() ?: return watchIdle()
+        val request = pending.removeFirstOrNull() ?: return refusal?.let(::sendRefusal) ?: watchIdle()
         context.channel().config().isAutoRead = true
         val exchange = IngressExchange(context, registry, wantsKeepAlive(request)) { ended() }
         current = exchange
@@ -176,10 +177,11 @@
     /** Answers a request that cannot be taken, and closes the connection, since the rest cannot be told apart. */
     private fun refuse(status: HttpResponseStatus) {
         isRefused = true
-        if (current != null) {
-            context.close()
-            return
-        }
+        // Requests that were read before it are answered first.
+        if (current == null && pending.isEmpty()) sendRefusal(status) else refusal = status
+    }
+
+    private fun sendRefusal(status: HttpResponseStatus) {
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER)
         HttpUtil.setContentLength(response, 0)
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RoutedRequestSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RoutedRequestSpec.kt
@@ -166,6 +166,17 @@
                 target.received.size shouldBe 0
             }
 
+            it("has its request answered although what follows is not HTTP") {
+                fleet.target("i-1") { ScriptedAnswer(signed(it, "first").pieces, pause = 200.milliseconds) }
+                val text =
+                    "GET /plain/1 HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key-a\r\n" +
+                        "Chestnutloom-Attempt-Id: z\r\n\r\nno request\r\n\r\n"
+                val answer = caller().exchange(text)
+                answer.status shouldBe 200
+                answer.body shouldContain "first"
+                answer.body shouldContain "HTTP/1.1 400"
+            }
+
             it("may send no more than the limits allow") {
                 fleet.target("i-1") { signed(it, "x") }
                 val caller = caller()
