Let a command wait ten seconds for the table service

Three forks of tests shared the cores.

Ruled out: the proof itself and the gateways, which were not started yet; a lost answer, as the command said that nothing was changed.

Change: 10 s for operators' commands.

Conclusion: a command is a process of its own that an operator waits for; it may be more patient than a gateway with callers behind it.

--- a/chestnutloom-cli/src/main/kotlin/org/chestnutloom/cli/InvocationParser.kt
+++ b/chestnutloom-cli/src/main/kotlin/org/chestnutloom/cli/InvocationParser.kt
@@ -55,7 +55,7 @@
         values: FlagValues,
         environment: Map<String, String>,
     ): CommandCall {
-        val storeTimeout = reader.duration("store-timeout-ms", 2.seconds)
+        val storeTimeout = reader.duration("store-timeout-ms", DEFAULT_STORE_TIMEOUT)
         val tableUrl = if (command.needsTable()) reader.url("table-url") else reader.optional("table-url").orEmpty()
         val table by lazy { tables(tableUrl, storeTimeout) }
         return CommandCall(
@@ -82,5 +82,8 @@
     private companion object {
         private const val DEFAULT_WAIT_SECONDS = 15
         private const val LONGEST_WAIT_SECONDS = 3600
+
+        /** An operator waits longer than a gateway does, also for a machine that is short of processor time. */
+        private val DEFAULT_STORE_TIMEOUT = 10.seconds
     }
 }
--- /dev/null
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/SlowTableSpec.kt
@@ -0,0 +1,31 @@
+package org.chestnutloom.integration
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import org.chestnutloom.integration.fleet.Fleet
+import org.chestnutloom.integration.fleet.FleetOptions
+import org.chestnutloom.integration.fleet.fleetDocument
+import kotlin.time.Duration.Companion.seconds
+
+/** Longer than a gateway waits for the table service, and well within what an operator waits for a command. */
+private val ANSWER_DELAY = 3.seconds
+
+/** Operators work on environments while machines are short of processor time. */
+class SlowTableSpec :
+    DescribeSpec({
+        describe("a table service whose answers take seconds") {
+            it("still takes the changes of an operator") {
+                Fleet(FleetOptions(gateways = 0, engines = 1, toolServices = 1)).use { fleet ->
+                    fleet.start()
+                    fleet.admin.fault(fleet.table.url, "slow", delayMs = ANSWER_DELAY.inWholeMilliseconds)
+                    val result =
+                        fleet.commandLine.applyDocument(
+                            fleetDocument(fleet.options),
+                            Fleet.ENVIRONMENT,
+                            waitSeconds = 0,
+                        )
+                    result.exitCode shouldBe 0
+                }
+            }
+        }
+    })
