Let requests of an account over its rate wait, and count only what ran

Requests that a runaway program had refused with 402 (40 to 50 a program) were counted in the account's rate although no target ran them, and each request that came a few milliseconds early was refused although the next right to run was tens of milliseconds away.

Ruled out: gateways that disagree on what was used (the five-second windows with refusals show up to 200 runs and those without as many).

What no target ran is given back.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -27,6 +27,7 @@
 import org.chestnutloom.platform.log.event
 import org.chestnutloom.time.Clock
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
 
@@ -57,6 +58,7 @@
             throw e
         } finally {
             trace.reservation?.settle(usedTokens = 0)
+            giveBackUnused(trace)
             metrics.record(trace, clock.elapsed() - trace.startedAt)
             log(request, trace)
         }
@@ -75,7 +77,7 @@
         trace.route = route
         val account = accountOf(configuration, route, head)
         trace.account = account
-        account?.let { quotas.admit(it).bind() }
+        account?.let { admit(it, route, head, trace) }
         val call = callOf(configuration, route, account, request, exchange, head, trace)
         trace.call = call
         if (crashes.hasMarks && crashes.isQuarantined(call.fingerprint)) raise(quarantined())
@@ -105,6 +107,23 @@
         raise(Refusal(RefusalCode.UNAUTHORIZED, Execution.NOT_RUN, "no key that is in force"))
     }
 
+    private suspend fun Raise<Refusal>.admit(
+        account: AccountSettings,
+        route: Route,
+        head: CallHead,
+        trace: CallTrace,
+    ) {
+        val patience = head.patience ?: route.timeout
+        quotas.admit(account, minOf(patience / RATE_WAIT_DIVISOR, LONGEST_RATE_WAIT)).bind()
+        trace.isAdmitted = true
+    }
+
+    /** A request that no target ran does not count in what its account may ask. */
+    private fun giveBackUnused(trace: CallTrace) {
+        val account = trace.account ?: return
+        if (trace.isAdmitted && (trace.call?.runs ?: 0) == 0) quotas.giveBack(account)
+    }
+
     private suspend fun Raise<Refusal>.callOf(
         configuration: EdgeConfiguration,
         route: Route,
@@ -218,6 +237,9 @@
     }
 
     private companion object {
+        /** A request waits for this part of its caller's patience at most until its account is within its rate. */
+        private const val RATE_WAIT_DIVISOR = 4
+        private val LONGEST_RATE_WAIT = 1.seconds
         private const val QUARANTINE_RETRY_MS = 60_000L
         private const val STALE_RETRY_MS = 500L
         private const val STORE_RETRY_MS = 500L
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallTrace.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallTrace.kt
@@ -14,6 +14,9 @@
     var route: Route? = null
     var account: AccountSettings? = null
     var reservation: Reservation? = null
+
+    /** Whether the request counts in what its account may ask. */
+    var isAdmitted: Boolean = false
     var call: RoutedCall? = null
     var status: Int = 0
     var outcome: String = "unfinished"
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountGate.kt
@@ -0,0 +1,54 @@
+package org.chestnutloom.edge.quota
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Lets requests of one client account through within its rate, those that have to wait in the order of their arrival.
+ *
+ * A short wait is better than a refusal: the caller would come back no sooner, and a program that is refused in its
+ * middle has used its earlier requests for nothing.
+ */
+internal class AccountGate(
+    val meter: AccountMeter,
+    private val clock: Clock,
+) {
+    private val queue = Mutex()
+    private var waiting = 0
+
+    /** Returns how long a request that comes now has to wait if no other gateway admits any. */
+    fun expectedWait(): Duration = meter.timeUntil(waiting + 1, clock.elapsed())
+
+    /**
+     * Admits one request and returns whether it was admitted.
+     *
+     * It waits if it is expected to be admitted within [longestWait], and then for twice as long at most, as other
+     * gateways may admit requests of the account meanwhile.
+     */
+    suspend fun pass(longestWait: Duration): Boolean {
+        if (waiting == 0 && meter.tryTake(clock.elapsed())) return true
+        if (expectedWait() > longestWait) return false
+        waiting++
+        try {
+            return withTimeoutOrNull(longestWait * PATIENCE_FACTOR) { queue.withLock { take() } } != null
+        } finally {
+            waiting--
+        }
+    }
+
+    private suspend fun take() {
+        while (!meter.tryTake(clock.elapsed())) delay(expectedWaitOfFirst())
+    }
+
+    private fun expectedWaitOfFirst(): Duration = meter.timeUntil(1, clock.elapsed()).coerceAtLeast(SHORTEST_DELAY)
+
+    private companion object {
+        private const val PATIENCE_FACTOR = 2
+        private val SHORTEST_DELAY = 1.milliseconds
+    }
+}
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountMeter.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountMeter.kt
@@ -59,16 +59,19 @@
         return true
     }
 
-    /** Gives back what was taken for a request that did not run. */
+    /** Gives back what was taken for a request that did not run, so that it does not count. */
     fun giveBack() {
         level = (level + 1.0).coerceAtMost(capacity)
         taken--
     }
 
-    /** Returns how long it takes until a request can be admitted if no other gateway admits any. */
-    fun timeUntilNext(now: Duration): Duration {
+    /** Returns how long it takes until [requests] can be admitted if no other gateway admits any. */
+    fun timeUntil(
+        requests: Int,
+        now: Duration,
+    ): Duration {
         refill(now)
-        val missing = (1.0 - level).coerceAtLeast(0.0)
+        val missing = (requests - level).coerceAtLeast(0.0)
         return Duration.parse("1s") * (missing / limit.ratePerSecond)
     }
 
--- /dev/null
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/quota/AccountGateSpec.kt
@@ -0,0 +1,76 @@
+package org.chestnutloom.edge.quota
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.chestnutloom.rate.RateLimit
+import org.chestnutloom.time.Clock
+import java.time.Instant
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val LIMIT = RateLimit(ratePerSecond = 20.0, burst = 10)
+
+private fun TestScope.gate(): AccountGate {
+    val clock =
+        object : Clock {
+            override fun now(): Instant = Instant.ofEpochMilli(currentTime)
+
+            override fun elapsed(): Duration = currentTime.milliseconds
+        }
+    return AccountGate(AccountMeter(LIMIT, startedAt = Duration.ZERO), clock)
+}
+
+class AccountGateSpec :
+    DescribeSpec({
+        describe("the pattern of a program that asks for many calls at once") {
+            it("lets all through that can be admitted soon") {
+                runTest {
+                    val gate = gate()
+                    delay(1.seconds)
+                    val calls = List(20) { async { gate.pass(longestWait = 600.milliseconds) } }
+                    calls.awaitAll().count { it } shouldBe 20
+                    currentTime shouldBe 1_500
+                }
+            }
+
+            it("refuses at once what would have to wait for too long") {
+                runTest {
+                    val gate = gate()
+                    delay(1.seconds)
+                    val calls = List(20) { async { gate.pass(longestWait = 200.milliseconds) } }
+                    testScheduler.runCurrent()
+                    calls.count { it.isCompleted && !it.await() } shouldBe 6
+                    calls.awaitAll().count { it } shouldBe 14
+                }
+            }
+
+            it("lets those that wait through in the order of their arrival") {
+                runTest {
+                    val gate = gate()
+                    val passed = ArrayList<Int>()
+                    List(5) { async { if (gate.pass(longestWait = 1.seconds)) passed += it } }.awaitAll()
+                    passed shouldBe listOf(0, 1, 2, 3, 4)
+                }
+            }
+        }
+
+        describe("a request that no target ran") {
+            it("leaves its place to another one") {
+                runTest {
+                    val gate = gate()
+                    delay(1.seconds)
+                    repeat(10) { gate.pass(longestWait = Duration.ZERO) shouldBe true }
+                    gate.pass(longestWait = Duration.ZERO) shouldBe false
+                    gate.meter.giveBack()
+                    gate.pass(longestWait = Duration.ZERO) shouldBe true
+                }
+            }
+        }
+    })
