--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/AnswerHead.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/AnswerHead.kt
@@ -7,7 +7,6 @@
  *
  * @property headers what the caller may see of them
  * @property isNotRun whether the target says that it did not run the request and never will
- * @property isWrongTarget whether another target than the expected one answered
  * @property isSigned whether the answer bears the target's signature
  * @property promisesNotRun whether the status alone would tell the caller that the request did not run
  */
@@ -15,7 +14,6 @@
     public val status: Int,
     public val headers: HttpHeaders,
     public val isNotRun: Boolean,
-    public val isWrongTarget: Boolean,
     public val isSigned: Boolean,
     public val promisesNotRun: Boolean,
 ) {
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallHead.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallHead.kt
@@ -12,7 +12,6 @@
  * @property accessKey the key that the caller showed
  * @property patience how long the caller waits for the answer
  * @property program the program that the request belongs to
- * @property programTimeLeft how long until the program should be finished
  * @property tokenBudget tokens that all turns of the program may generate
  * @property maxOutputTokens the most tokens that this turn generates
  * @property prompt the parts of the prompt in order
@@ -23,7 +22,6 @@
     public val accessKey: String?,
     public val patience: Duration?,
     public val program: ProgramId?,
-    public val programTimeLeft: Duration?,
     public val tokenBudget: Long?,
     public val maxOutputTokens: Long,
     public val prompt: ImmutableList<PromptPart>,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/config/Service.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/config/Service.kt
@@ -8,7 +8,6 @@
  */
 public data class Service(
     public val name: String,
-    public val healthPath: String,
     public val maxConnections: Int,
     public val engine: EngineLimits?,
 )
