Start programs only where those under way leave room

Turns took 900 ms where they take 300 ms, for as many turns a second as before, so that all programs missed their objective instead of some being refused. In the same way an account over its rate began programs that its rate could not bear, and they ended in their middle with 429.

Ruled out: shared prompts read again (290 tokens a turn), uneven load (busiest target 1.1 times the mean), gateways short of processor time.

Change: the first turn of a program waits, in order of urgency, while half of the targets' slots are taken, for an eighth of its caller's patience, and is refused then. A first turn also leaves half of its account's burst to the programs under way. Whether a turn is the first is told by the program's budget row; a program that was refused gives its claim back, so that it counts as not started at any gateway.

Programs that outlive the loss of engines still make the load exceed the half; their turns cannot be refused.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -170,6 +170,7 @@
             CallMetrics(metrics),
             clock,
             Random.Default,
+            loop.scope,
         )
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetKeeper.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetKeeper.kt
@@ -53,8 +53,9 @@
                 .withLock { claim(program, budget, budgetTokens, mostTokens) }
                 .onLeft { return it.left() }
         }
+        val startsProgram = budget.isUntouched
         budget.reservedTokens += mostTokens
-        return Reservation(budget, mostTokens).right()
+        return Reservation(budget, mostTokens, startsProgram).right()
     }
 
     /** Gives back what was claimed of the budget of [program] and is not needed by turns under way. */
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/ProgramBudget.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/ProgramBudget.kt
@@ -25,6 +25,10 @@
     /** What a turn of [mostTokens] brings the spending here to, at most. */
     fun neededFor(mostTokens: Long): Long = settledTokens + reservedTokens + mostTokens
 
+    /** Whether nothing was spent, and nobody may spend anything yet, as far as is known here. */
+    val isUntouched: Boolean
+        get() = settledTokens + reservedTokens == 0L && otherClaims.all { it.tokens == 0L }
+
     /** Whether a claim was written here, with or without an answer. */
     var hasClaimed = false
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/Reservation.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/Reservation.kt
@@ -1,9 +1,14 @@
 package org.chestnutloom.edge.budget
 
-/** The right of one turn to generate tokens. */
+/**
+ * The right of one turn to generate tokens.
+ *
+ * @property startsProgram whether the program had no turn before, as far as its row tells
+ */
 public class Reservation internal constructor(
     private val budget: ProgramBudget,
     private val mostTokens: Long,
+    public val startsProgram: Boolean,
 ) {
     private var isSettled = false
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
@@ -16,6 +16,7 @@
 import org.chestnutloom.edge.target.TargetNeeds
 import org.chestnutloom.edge.target.TargetScheduler
 import org.chestnutloom.time.Clock
+import kotlin.time.Duration
 
 /** Sends a call to targets until one answers it or nothing more may be tried. */
 internal class CallDispatcher(
@@ -90,10 +91,15 @@
             rank = call.rank,
             prompt = call.head.prompt,
             isModelCall = call.route.kind == RouteKind.STREAMING,
-            waitUntil = call.deadline,
+            startsProgram = call.startsProgram,
+            waitUntil = if (call.startsProgram) minOf(call.deadline, startDeadline(call)) else call.deadline,
             excluded = call.excluded,
         )
 
+    /** A program that cannot start soon is refused early, so that its caller can come back or do without. */
+    private fun startDeadline(call: RoutedCall): Duration =
+        call.request.receivedAt + (call.callerDeadline - call.request.receivedAt) / START_WAIT_DIVISOR
+
     /** A call that may have run on one target must not be promised as not run because no other could be had. */
     private fun refused(
         refusal: Refusal,
@@ -112,6 +118,9 @@
 
     private companion object {
         private const val MAX_SENDS = 5
+
+        /** A program waits for its start for this part of its caller's patience. */
+        private const val START_WAIT_DIVISOR = 8
         private const val RETRY_AFTER_MS = 200L
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -5,6 +5,8 @@
 import arrow.core.raise.either
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
 import org.chestnutloom.call.Execution
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.call.RefusalCode
@@ -43,6 +45,7 @@
     private val metrics: CallMetrics,
     private val clock: Clock,
     private val random: Random,
+    private val scope: CoroutineScope,
 ) : CallerHandler {
     override suspend fun handle(
         request: CallerRequest,
@@ -59,6 +62,7 @@
         } finally {
             trace.reservation?.settle(usedTokens = 0)
             giveBackUnused(trace)
+            giveBackStart(trace)
             metrics.record(trace, clock.elapsed() - trace.startedAt)
             log(request, trace)
         }
@@ -77,10 +81,10 @@
         trace.route = route
         val account = accountOf(configuration, route, head)
         trace.account = account
-        account?.let { admit(it, route, head, trace) }
         val call = callOf(configuration, route, account, request, exchange, head, trace)
         trace.call = call
         if (crashes.hasMarks && crashes.isQuarantined(call.fingerprint)) raise(quarantined())
+        account?.let { admit(it, call, trace) }
         val answered = dispatcher.dispatch(call).bind()
         trace.status = answered.status
         return answered
@@ -109,12 +113,15 @@
 
     private suspend fun Raise<Refusal>.admit(
         account: AccountSettings,
-        route: Route,
-        head: CallHead,
+        call: RoutedCall,
         trace: CallTrace,
     ) {
-        val patience = head.patience ?: route.timeout
-        quotas.admit(account, minOf(patience / RATE_WAIT_DIVISOR, LONGEST_RATE_WAIT)).bind()
+        if (call.startsProgram) {
+            quotas.admitStart(account).bind()
+        } else {
+            val patience = call.callerDeadline - call.request.receivedAt
+            quotas.admit(account, minOf(patience / RATE_WAIT_DIVISOR, LONGEST_RATE_WAIT)).bind()
+        }
         trace.isAdmitted = true
     }
 
@@ -124,6 +131,13 @@
         if (trace.isAdmitted && (trace.call?.runs ?: 0) == 0) quotas.giveBack(account)
     }
 
+    /** A program that could not be started leaves no claim, so that it counts as not started everywhere. */
+    private fun giveBackStart(trace: CallTrace) {
+        val program = trace.head?.program ?: return
+        val isUnstarted = trace.reservation?.startsProgram == true && (trace.call?.runs ?: 0) == 0
+        if (isUnstarted) scope.launch { budgets.trim(program) }
+    }
+
     private suspend fun Raise<Refusal>.callOf(
         configuration: EdgeConfiguration,
         route: Route,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
@@ -49,6 +49,10 @@
     /** Names the request among those that may be sent again. */
     val fingerprint: RequestFingerprint by lazy(LazyThreadSafetyMode.NONE) { fingerprintOf(request, account?.id) }
 
+    /** Whether no other request of the same program was served yet, as far as is known here. */
+    val startsProgram: Boolean
+        get() = reservation?.startsProgram == true
+
     /** The request's urgency, 0 being the most urgent. */
     val rank: Int
         get() = account?.priority ?: route.priority
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountGate.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountGate.kt
@@ -24,6 +24,16 @@
     /** Returns how long a request that comes now has to wait if no other gateway admits any. */
     fun expectedWait(): Duration = meter.timeUntil(waiting + 1, clock.elapsed())
 
+    /** Returns how long it takes until a program can start if nothing else is admitted. */
+    fun expectedWaitForStart(): Duration = meter.timeUntil(waiting + 1, clock.elapsed(), KEPT_FOR_RUNNING)
+
+    /**
+     * Admits the first request of a program, and returns whether it was admitted.
+     *
+     * A part of the burst is kept for the programs under way, which ask for several calls at a time.
+     */
+    fun passStart(): Boolean = waiting == 0 && meter.tryTake(clock.elapsed(), KEPT_FOR_RUNNING)
+
     /**
      * Admits one request and returns whether it was admitted.
      *
@@ -49,6 +59,7 @@
 
     private companion object {
         private const val PATIENCE_FACTOR = 2
+        private const val KEPT_FOR_RUNNING = 0.5
         private val SHORTEST_DELAY = 1.milliseconds
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountMeter.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountMeter.kt
@@ -50,10 +50,12 @@
         level = level.coerceAtMost(capacity)
     }
 
-    /** Admits one request if the account has something left. */
-    fun tryTake(now: Duration): Boolean {
-        refill(now)
-        if (level < 1.0) return false
+    /** Admits one request if the account has something left beyond [keptPart] of its burst. */
+    fun tryTake(
+        now: Duration,
+        keptPart: Double = 0.0,
+    ): Boolean {
+        if (timeUntil(requests = 1, now, keptPart) > Duration.ZERO) return false
         level -= 1.0
         taken++
         return true
@@ -65,13 +67,18 @@
         taken--
     }
 
-    /** Returns how long it takes until [requests] can be admitted if no other gateway admits any. */
+    /**
+     * Returns how long it takes until [requests] can be admitted beyond [keptPart] of the burst, if no other gateway
+     * admits any.
+     */
     fun timeUntil(
         requests: Int,
         now: Duration,
+        keptPart: Double = 0.0,
     ): Duration {
         refill(now)
-        val missing = (requests - level).coerceAtLeast(0.0)
+        val wanted = (requests + capacity * keptPart).coerceAtMost(capacity)
+        val missing = (wanted - level).coerceAtLeast(0.0)
         return Duration.parse("1s") * (missing / limit.ratePerSecond)
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountQuotas.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountQuotas.kt
@@ -31,15 +31,23 @@
         configuration.accounts.orEmpty().forEach(::configure)
     }
 
+    /** Admits the first request of a program of [account], or refuses it as not run. */
+    public fun admitStart(account: AccountSettings): Either<Refusal, Unit> {
+        val gate = gates[account.id] ?: return Unit.right()
+        return if (gate.passStart()) admitted(gate).right() else overRate(gate.expectedWaitForStart()).left()
+    }
+
     /** Admits a request of [account], after waiting if [longestWait] is likely to be enough, or refuses it as not run. */
     public suspend fun admit(
         account: AccountSettings,
         longestWait: Duration,
     ): Either<Refusal, Unit> {
         val gate = gates[account.id] ?: return Unit.right()
-        if (!gate.pass(longestWait)) return overRate(gate.expectedWait()).left()
+        return if (gate.pass(longestWait)) admitted(gate).right() else overRate(gate.expectedWait()).left()
+    }
+
+    private fun admitted(gate: AccountGate) {
         if (gate.meter.isReportDue(reporter.fleetSize)) reporter.reportSoon()
-        return Unit.right()
     }
 
     /** Gives back what [account] used for a request that did not run. */
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/TargetNeeds.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/TargetNeeds.kt
@@ -11,6 +11,7 @@
  * @property rank the request's urgency, 0 being the most urgent
  * @property prompt the parts of the prompt in order; empty for plain services
  * @property isModelCall whether an engine generates the answer
+ * @property startsProgram whether no other request of the same program was served yet
  * @property waitUntil when waiting for a target is pointless, on the monotonic clock
  * @property excluded targets that already failed this request
  */
@@ -20,6 +21,7 @@
     public val rank: Int,
     public val prompt: List<PromptPart>,
     public val isModelCall: Boolean,
+    public val startsProgram: Boolean,
     public val waitUntil: Duration,
     public val excluded: Set<TargetId>,
 )
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/TargetScheduler.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/TargetScheduler.kt
@@ -41,7 +41,7 @@
     /** Returns a target that [needs] can be sent to now, after waiting if all are full. */
     public suspend fun acquire(needs: TargetNeeds): Either<Refusal, Target> {
         if (usable(needs).isEmpty()) return noTarget().left()
-        if (waiting.none { it.needs.service == needs.service && it.needs.rank <= needs.rank }) {
+        if (waiting.none { isBefore(it.needs, needs) }) {
             choose(needs)?.let { return take(it).right() }
         }
         if (expectedWaitMs(needs) >
@@ -60,14 +60,15 @@
 
     /** Gives free places to the requests that wait. */
     public fun dispatch() {
-        val fullServices = HashSet<String>()
+        val placeless = HashSet<PlaceKind>()
         val waiters = waiting.iterator()
         while (waiters.hasNext()) {
             val waiter = waiters.next()
-            if (waiter.needs.service in fullServices) continue
+            val kind = kindOf(waiter.needs)
+            if (kind in placeless) continue
             val target = choose(waiter.needs)
             if (target == null) {
-                fullServices += waiter.needs.service
+                placeless += kind
             } else {
                 waiters.remove()
                 waiter.target.complete(take(target))
@@ -75,6 +76,14 @@
         }
     }
 
+    private fun kindOf(needs: TargetNeeds) = PlaceKind(needs.service, needs.startsProgram)
+
+    /** Whether [waiting] gets a place before a request with [needs] that comes after it. */
+    private fun isBefore(
+        waiting: TargetNeeds,
+        needs: TargetNeeds,
+    ): Boolean = kindOf(waiting) == kindOf(needs) && waiting.rank <= needs.rank
+
     @OptIn(ExperimentalCoroutinesApi::class)
     private suspend fun await(needs: TargetNeeds): Either<Refusal, Target> {
         val waiter = Waiter(needs, arrivals++)
@@ -104,12 +113,23 @@
     }
 
     private fun choose(needs: TargetNeeds): Target? {
-        val free = usable(needs).filter { it.load < it.entry.slots + QUEUED_AHEAD }
+        val usable = usable(needs)
+        if (needs.startsProgram && !hasRoomForProgram(usable)) return null
+        val free = usable.filter { it.load < it.entry.slots + QUEUED_AHEAD }
         val query = RouteQuery(needs.prompt.sumOf { it.tokens }.toLong(), failureDomain)
         val chosen = policy.choose(query, free.map { view(it, needs) }) ?: return null
         return free.first { it.entry.id == chosen.id }
     }
 
+    /**
+     * Whether so few places at [usable] are taken that one more program can start.
+     *
+     * Engines slow down with each request in their batch. So that the programs under way end in time, no program is
+     * started on the places that they need for their next turns.
+     */
+    private fun hasRoomForProgram(usable: List<Target>): Boolean =
+        usable.sumOf { it.load } < usable.sumOf { it.entry.slots } * START_SHARE
+
     private fun view(
         target: Target,
         needs: TargetNeeds,
@@ -138,7 +158,7 @@
 
     private fun expectedWaitMs(needs: TargetNeeds): Double {
         val slots = usable(needs).sumOf { it.entry.slots }.coerceAtLeast(1)
-        val ahead = waiting.count { it.needs.service == needs.service && it.needs.rank <= needs.rank }
+        val ahead = waiting.count { isBefore(it.needs, needs) }
         return ahead * occupancyMs(needs) / slots
     }
 
@@ -149,10 +169,17 @@
         Refusal(RefusalCode.NO_TARGET, Execution.NOT_RUN, "no target is reachable", NO_TARGET_RETRY_MS)
 
     private fun overloaded(needs: TargetNeeds): Refusal {
-        val retryAfterMs = expectedWaitMs(needs).toLong().coerceIn(SHORTEST_RETRY_MS, LONGEST_RETRY_MS)
+        val shortestMs = if (needs.startsProgram) START_RETRY_MS else SHORTEST_RETRY_MS
+        val retryAfterMs = expectedWaitMs(needs).toLong().coerceIn(shortestMs, LONGEST_RETRY_MS)
         return Refusal(RefusalCode.OVERLOADED, Execution.NOT_RUN, "all targets are full", retryAfterMs)
     }
 
+    /** Requests that can use the same places. */
+    private data class PlaceKind(
+        val service: String,
+        val startsProgram: Boolean,
+    )
+
     private class Waiter(
         val needs: TargetNeeds,
         val arrival: Long,
@@ -166,6 +193,9 @@
         /** Requests that may wait at a target, so that a place is not idle for the time of one exchange. */
         private const val QUEUED_AHEAD = 1
 
+        /** The part of the targets' slots up to which programs are started. */
+        private const val START_SHARE = 0.5
+
         private const val PREFILL_TOKENS_PER_SECOND = 170_000.0
 
         /** Each request in an engine's batch delays each of the others by about so much over a usual answer. */
@@ -178,6 +208,7 @@
 
         private const val NO_TARGET_RETRY_MS = 300L
         private const val SHORTEST_RETRY_MS = 50L
+        private const val START_RETRY_MS = 500L
         private const val LONGEST_RETRY_MS = 2_000L
     }
 }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/quota/AccountGateSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/quota/AccountGateSpec.kt
@@ -61,6 +61,36 @@
             }
         }
 
+        describe("the pattern of an account that begins more programs than its rate allows") {
+            it("starts none on the part of the burst that the programs under way need") {
+                runTest {
+                    val gate = gate()
+                    delay(1.seconds)
+                    List(8) { gate.passStart() }.count { it } shouldBe 5
+                    gate.pass(longestWait = Duration.ZERO) shouldBe true
+                }
+            }
+
+            it("starts none while requests of programs under way wait") {
+                runTest {
+                    val gate = gate()
+                    val waiting = async { gate.pass(longestWait = 1.seconds) }
+                    testScheduler.runCurrent()
+                    gate.passStart() shouldBe false
+                    waiting.await() shouldBe true
+                }
+            }
+
+            it("says when the next one can start") {
+                runTest {
+                    val gate = gate()
+                    gate.expectedWaitForStart() shouldBe 300.milliseconds
+                    delay(gate.expectedWaitForStart())
+                    gate.passStart() shouldBe true
+                }
+            }
+        }
+
         describe("a request that no target ran") {
             it("leaves its place to another one") {
                 runTest {
