Count all requests that wait for their account's rate

The time until a number of requests can be admitted was capped at the time for a full burst, a cap meant for program starts only. With more requests waiting than the burst, further ones were let wait although their turn could not come in time, and were refused after waiting.

Before: AccountGateSpec "counts all that wait already, also when they are more than the burst" refused 0 of 8 at once. After: 8 of 8.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountGate.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountGate.kt
@@ -59,6 +59,8 @@
 
     private companion object {
         private const val PATIENCE_FACTOR = 2
+
+        /** The part of the burst that no program is started on. */
         private const val KEPT_FOR_RUNNING = 0.5
         private val SHORTEST_DELAY = 1.milliseconds
     }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountMeter.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountMeter.kt
@@ -23,10 +23,7 @@
     private val takenByPeer = HashMap<GatewayId, PeerUse>()
 
     private var reported = 0L
-
-    /** Requests that this gateway admitted since the meter was made. */
-    var taken: Long = 0
-        private set
+    private var taken = 0L
 
     /**
      * Whether so much was admitted since the last report that the other gateways should hear of it at once, as they
@@ -34,7 +31,7 @@
      */
     fun isReportDue(fleetSize: Int): Boolean = taken - reported >= capacity / (fleetSize * REPORTS_PER_BURST)
 
-    /** Returns what this gateway admitted, for a report to the others. */
+    /** Returns how many requests this gateway admitted since the meter was made, for a report to the others. */
     fun report(): Long {
         reported = taken
         return taken
@@ -77,8 +74,8 @@
         keptPart: Double = 0.0,
     ): Duration {
         refill(now)
-        val wanted = (requests + capacity * keptPart).coerceAtMost(capacity)
-        val missing = (wanted - level).coerceAtLeast(0.0)
+        val kept = (capacity * keptPart).coerceAtMost(capacity - 1)
+        val missing = (requests + kept - level).coerceAtLeast(0.0)
         return Duration.parse("1s") * (missing / limit.ratePerSecond)
     }
 
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/quota/AccountGateSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/quota/AccountGateSpec.kt
@@ -51,6 +51,17 @@
                 }
             }
 
+            it("counts all that wait already, also when they are more than the burst") {
+                runTest {
+                    val gate = gate()
+                    delay(1.seconds)
+                    val calls = List(30) { async { gate.pass(longestWait = 600.milliseconds) } }
+                    testScheduler.runCurrent()
+                    calls.count { it.isCompleted && !it.await() } shouldBe 8
+                    calls.awaitAll().count { it } shouldBe 22
+                }
+            }
+
             it("lets those that wait through in the order of their arrival") {
                 runTest {
                     val gate = gate()
