Build refusals for a store that is away in one place, end answers in one place

Three refusals with the same code and time to come back are made by one factory; long whole answers and streams are passed on and ended by the same functions.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetKeeper.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetKeeper.kt
@@ -17,6 +17,7 @@
 import org.chestnutloom.edge.store.RowPut
 import org.chestnutloom.edge.store.RowStore
 import org.chestnutloom.edge.store.StoredRow
+import org.chestnutloom.edge.store.storeAway
 import org.chestnutloom.id.GatewayId
 import org.chestnutloom.id.Incarnation
 import org.chestnutloom.id.ProgramId
@@ -118,7 +119,7 @@
                 } else {
                     write(program, budget, sized(needed, free, budgetTokens))
                 }
-            if (failure is ChangeFailure.Failed) return storeAway(program, failure).left()
+            if (failure is ChangeFailure.Failed) return claimFailed(program, failure).left()
             if (failure is ChangeFailure.Conflict) adopt(program, budget, failure.current)
         }
         return contended().left()
@@ -187,17 +188,12 @@
         return Refusal(RefusalCode.BUDGET_EXHAUSTED, Execution.NOT_RUN, "the program's budget is spent")
     }
 
-    private fun storeAway(
+    private fun claimFailed(
         program: ProgramId,
         failure: ChangeFailure.Failed,
     ): Refusal {
         logger.warnEvent("budget_claim_failed", "program" to program, "cause" to failure.cause)
-        return Refusal(
-            RefusalCode.STORE_UNAVAILABLE,
-            Execution.NOT_RUN,
-            "the budget cannot be reserved now",
-            RETRY_AFTER_MS,
-        )
+        return storeAway("the budget cannot be reserved now")
     }
 
     private fun notTrimmed(
@@ -207,13 +203,7 @@
         logger.warnEvent("budget_trim_failed", "program" to program, "cause" to failure.cause)
     }
 
-    private fun contended(): Refusal =
-        Refusal(
-            RefusalCode.STORE_UNAVAILABLE,
-            Execution.NOT_RUN,
-            "the budget is being reserved elsewhere",
-            RETRY_AFTER_MS,
-        )
+    private fun contended(): Refusal = storeAway("the budget is being reserved elsewhere")
 
     private fun keyOf(program: ProgramId): RowKey = RowKey(TABLE, program.value, ROW)
 
@@ -227,6 +217,5 @@
 
         /** A claim goes beyond what is needed by this part of the budget. */
         private const val AHEAD_DIVISOR = 3L
-        private const val RETRY_AFTER_MS = 500L
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/AnswerRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/AnswerRelay.kt
@@ -40,7 +40,11 @@
                 call.exchange.answer(head.status, head.headers, collected.body)
                 ReadResult(AttemptResult.Answered(head.status, isWhole = true), isClean = true)
             }
-            is Collected.TooLong -> passOnLong(call, connection, head, collected.body, parts)
+            is Collected.TooLong -> {
+                call.exchange.start(head.status, head.headers)
+                call.exchange.send(collected.body)
+                end(call, head, isWhole = relayParts(call, connection, parts, events = null))
+            }
             is Collected.Broken -> ReadResult(AttemptResult.Lost(collected.cause), isClean = false)
         }
     }
@@ -55,31 +59,37 @@
     ): ReadResult {
         val events = EventReader(collectsData = call.route.isRetained)
         target.cache.add(call.head.prompt)
+        call.exchange.start(head.status, head.headers)
         var isWhole = false
         try {
-            isWhole = relayEvents(call, connection, head, parts, events)
+            isWhole = relayParts(call, connection, parts, events)
         } finally {
             settle(call, events, isWhole)
         }
-        if (isWhole) isWhole = keepTurn(call, target, events)
+        return end(call, head, isWhole && keepTurn(call, target, events))
+    }
+
+    private fun end(
+        call: RoutedCall,
+        head: AnswerHead,
+        isWhole: Boolean,
+    ): ReadResult {
         if (isWhole) call.exchange.finish() else call.exchange.abort()
         return ReadResult(AttemptResult.Answered(head.status, isWhole), isClean = isWhole)
     }
 
-    private suspend fun relayEvents(
+    /** Passes [parts] on until the caller stops waiting, and returns whether their end came. */
+    private suspend fun relayParts(
         call: RoutedCall,
         connection: HttpConnection,
-        head: AnswerHead,
         parts: ReceiveChannel<AnswerPart>,
-        events: EventReader,
-    ): Boolean {
-        call.exchange.start(head.status, head.headers)
-        return withTimeoutOrNull(call.callerDeadline - clock.elapsed()) {
-            relayParts(call, connection, parts, events)
+        events: EventReader?,
+    ): Boolean =
+        withTimeoutOrNull(call.callerDeadline - clock.elapsed()) {
+            relayToEnd(call, connection, parts, events)
         } ?: false
-    }
 
-    private suspend fun relayParts(
+    private suspend fun relayToEnd(
         call: RoutedCall,
         connection: HttpConnection,
         parts: ReceiveChannel<AnswerPart>,
@@ -150,23 +160,6 @@
         return turns.save(record)
     }
 
-    private suspend fun passOnLong(
-        call: RoutedCall,
-        connection: HttpConnection,
-        head: AnswerHead,
-        start: ByteArray,
-        parts: ReceiveChannel<AnswerPart>,
-    ): ReadResult {
-        call.exchange.start(head.status, head.headers)
-        call.exchange.send(start)
-        val isWhole =
-            withTimeoutOrNull(call.callerDeadline - clock.elapsed()) {
-                relayParts(call, connection, parts, events = null)
-            } ?: false
-        if (isWhole) call.exchange.finish() else call.exchange.abort()
-        return ReadResult(AttemptResult.Answered(head.status, isWhole), isClean = isWhole)
-    }
-
     private suspend fun collect(
         parts: ReceiveChannel<AnswerPart>,
         maxBytes: Int,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -23,6 +23,7 @@
 import org.chestnutloom.edge.http.CallerHandler
 import org.chestnutloom.edge.http.CallerRequest
 import org.chestnutloom.edge.quota.AccountQuotas
+import org.chestnutloom.edge.store.storeAway
 import org.chestnutloom.edge.turn.TurnChain
 import org.chestnutloom.edge.turn.TurnFailure
 import org.chestnutloom.edge.turn.TurnStore
@@ -194,10 +195,8 @@
     private fun refusalOf(failure: TurnFailure): Refusal =
         when (failure) {
             is TurnFailure.NotFound -> Refusal(RefusalCode.NOT_FOUND, Execution.NOT_RUN, "there is no such turn")
-            is TurnFailure.GatewayAway ->
-                Refusal(RefusalCode.STORE_UNAVAILABLE, Execution.NOT_RUN, "the turn may be elsewhere", STORE_RETRY_MS)
-            is TurnFailure.StoreAway ->
-                Refusal(RefusalCode.STORE_UNAVAILABLE, Execution.NOT_RUN, "the turn cannot be read now", STORE_RETRY_MS)
+            is TurnFailure.GatewayAway -> storeAway("the turn may be elsewhere")
+            is TurnFailure.StoreAway -> storeAway("the turn cannot be read now")
         }
 
     private suspend fun Raise<Refusal>.reservationOf(
@@ -256,7 +255,6 @@
         private val LONGEST_RATE_WAIT = 1.seconds
         private const val QUARANTINE_RETRY_MS = 60_000L
         private const val STALE_RETRY_MS = 500L
-        private const val STORE_RETRY_MS = 500L
         private val EMPTY = ByteArray(0)
     }
 }
