Take only requests that end before a stopping gateway does

While earlier requests were answered the gateway took every new one until its last second.

Ruled out: the way of the earlier requests, which all ended in time.

Change: while a gateway stops, a request whose caller would wait beyond the gateway's end is refused as not run, with a time to come back. RoutedRequestSpec "gets no more than its rate and burst" sent its requests one after the other; these now wait for their turn instead of being refused, so it sends them at once and also bounds those that are admitted.

Before: RoutedRequestSpec "takes only requests whose callers stop waiting before its end" got 200 for a request that outlasts the gateway. After: 503, and the short request beside it 200.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -12,6 +12,7 @@
 import org.chestnutloom.edge.call.CallDispatcher
 import org.chestnutloom.edge.call.CallMetrics
 import org.chestnutloom.edge.call.CallService
+import org.chestnutloom.edge.call.StopDeadline
 import org.chestnutloom.edge.call.TargetAttempts
 import org.chestnutloom.edge.codec.CborCodec
 import org.chestnutloom.edge.config.ConfigurationHolder
@@ -90,6 +91,7 @@
         BudgetKeeper(store, FleetBudgets(fleet, links), settings.self.gateway, settings.self.incarnation)
     private val turns =
         TurnStore(TurnRows(store, settings.rowBytes), FleetTurns(settings.self, fleet, links), loop.scope)
+    private val stopDeadline = StopDeadline()
     private val limits = IngressLimits { configurations.current?.limits ?: LIMITS_BEFORE_CONFIGURATION }
     private val ingress = IngressServer(settings.callers, loop, callService(), limits, clock)
     private val health = IngressServer(settings.health, loop, healthHandler(), limits, clock)
@@ -137,9 +139,10 @@
     private suspend fun finish() {
         isStopping = true
         ingress.beginStop()
-        val startedAt = clock.elapsed()
+        val endsAt = clock.elapsed() + settings.grace - STOP_MARGIN
+        stopDeadline.set(endsAt)
         delay(settings.unreadyTime)
-        while (ingress.isBusy && clock.elapsed() - startedAt < settings.grace - STOP_MARGIN) delay(STOP_POLL)
+        while (ingress.isBusy && clock.elapsed() < endsAt) delay(STOP_POLL)
         logger.event("ingress_closed", "busy" to ingress.isBusy)
         ingress.stopListening()
         withTimeoutOrNull(HAND_BACK_TIMEOUT) { budgets.trimAll() }
@@ -171,6 +174,7 @@
             clock,
             Random.Default,
             loop.scope,
+            stopDeadline,
         )
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -47,6 +47,7 @@
     private val clock: Clock,
     private val random: Random,
     private val scope: CoroutineScope,
+    private val stopDeadline: StopDeadline,
 ) : CallerHandler {
     override suspend fun handle(
         request: CallerRequest,
@@ -152,10 +153,11 @@
         val service =
             configuration.services[destinationOf(route).service]
                 ?: raise(Refusal(RefusalCode.UNKNOWN_SERVICE, Execution.NOT_RUN, "the route's service is not set up"))
+        val callerDeadline = request.receivedAt + (head.patience ?: route.timeout)
+        if (stopDeadline.isBefore(callerDeadline)) raise(stopping())
         val chain = chainOf(route, account, head)
         val reservation = reservationOf(route, head)
         trace.reservation = reservation
-        val callerDeadline = request.receivedAt + (head.patience ?: route.timeout)
         return RoutedCall(
             id = id,
             request = request,
@@ -212,6 +214,10 @@
     private fun quarantined(): Refusal =
         Refusal(RefusalCode.QUARANTINED, Execution.NOT_RUN, "the request crashed targets before", QUARANTINE_RETRY_MS)
 
+    /** What might be cut off by the end of this gateway is better served by another one from the start. */
+    private fun stopping(): Refusal =
+        Refusal(RefusalCode.STOPPING, Execution.NOT_RUN, "the gateway is being stopped", STOPPING_RETRY_MS)
+
     private fun stale(detail: String): Refusal =
         Refusal(RefusalCode.GATEWAY_STALE, Execution.NOT_RUN, detail, STALE_RETRY_MS)
 
@@ -254,6 +260,7 @@
         private const val RATE_WAIT_DIVISOR = 4
         private val LONGEST_RATE_WAIT = 1.seconds
         private const val QUARANTINE_RETRY_MS = 60_000L
+        private const val STOPPING_RETRY_MS = 20L
         private const val STALE_RETRY_MS = 500L
         private val EMPTY = ByteArray(0)
     }
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
@@ -16,6 +16,7 @@
 import org.chestnutloom.wire.link.PeerAddress
 import java.net.DatagramSocket
 import java.net.ServerSocket
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -26,6 +27,9 @@
     private val nodes = LinkedHashMap<String, Node>()
     private var starts = 0
 
+    /** How long gateways that are started from now on take to stop at most. */
+    var grace: Duration = 8.seconds
+
     suspend fun start() {
         store.start()
     }
@@ -126,7 +130,7 @@
             store = PeerAddress("127.0.0.1", store.port),
             rowBytes = 65_536,
             unreadyTime = 50.milliseconds,
-            grace = 8.seconds,
+            grace = grace,
         )
 
     /** Returns a port that is free for TCP and UDP. */
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RawCaller.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RawCaller.kt
@@ -20,11 +20,12 @@
         id: String = "attempt-$port-${++requests}",
         key: String? = "key-a",
         headers: Map<String, String> = emptyMap(),
+        patienceMs: Int = 4_000,
     ): RawAnswer {
         val lines =
             listOf("$method $path HTTP/1.1", "Host: a.example", "Connection: close", "Content-Length: ${body.length}") +
                 "Chestnutloom-Attempt-Id: $id" +
-                "Chestnutloom-Deadline-Ms: 4000" +
+                "Chestnutloom-Deadline-Ms: $patienceMs" +
                 listOfNotNull(key?.let { "Authorization: Token $it" }) +
                 headers.map { (name, value) -> "$name: $value" }
         return exchange(lines.joinToString("\r\n", postfix = "\r\n\r\n") + body)
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RoutedRequestSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RoutedRequestSpec.kt
@@ -3,15 +3,20 @@
 import io.kotest.core.spec.IsolationMode
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import org.chestnutloom.fakes.edge.AnswerEnd
 import org.chestnutloom.fakes.edge.ReceivedRequest
 import org.chestnutloom.fakes.edge.ScriptedAnswer
 import org.chestnutloom.fakes.edge.ScriptedTarget
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Sends a request that breaks off at one of [targets], and stops that target, which is then returned. */
 private suspend fun RawCaller.sendAndCrash(targets: List<ScriptedTarget>): ScriptedTarget {
@@ -220,13 +225,33 @@
                 fleet.configure(version = 1, ratePerSecond = 1, burst = 3)
                 val caller = RawCaller(fleet.gateway("g1"))
                 delay(1_200.milliseconds)
-                val answers = (1..8).map { caller.send("GET", "/plain/$it") }
+                val answers = coroutineScope { (1..8).map { async { caller.send("GET", "/plain/$it") } }.awaitAll() }
+                answers.count { it.status == 200 } shouldBeLessThanOrEqual 5
                 answers.map { it.status } shouldContain 429
                 answers.first { it.status == 429 }.header("Retry-After").shouldNotBeNull()
                 caller.send("GET", "/plain/b", key = "key-b").status shouldBe 200
             }
         }
 
+        describe("a gateway that is being stopped") {
+            it("takes only requests whose callers stop waiting before its end") {
+                fleet.grace = 4.seconds
+                val target = fleet.target("i-1") { ScriptedAnswer(signed(it, "x").pieces, pause = 800.milliseconds) }
+                val caller = caller()
+                coroutineScope {
+                    val earlier = async { caller.send("GET", "/plain/1") }
+                    eventually { target.received.size == 1 }
+                    val stop = async { fleet.stopGateway("g1") }
+                    delay(100.milliseconds)
+                    caller.send("GET", "/plain/2").status shouldBe 503
+                    caller.send("GET", "/plain/3", patienceMs = 1_500).status shouldBe 200
+                    earlier.await().status shouldBe 200
+                    target.received.map { it.target } shouldBe listOf("/plain/1", "/plain/3")
+                    stop.await()
+                }
+            }
+        }
+
         describe("a change of the configuration") {
             it("is in force soon, and an older one never again") {
                 fleet.target("i-1") { signed(it, "x") }
