--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -84,7 +84,7 @@
     private val quarantine = RequestQuarantine({ connector.isConnectionRefused(it.address) }, loop.scope)
     private val heartbeats =
         HeartbeatExchange(settings.self, configurations, targets, scheduler, storeHealth, quarantine, clock, loop.scope)
-    private val fleet = Fleet(settings.self, loop, clock, heartbeats, heartbeats)
+    private val fleet = Fleet(settings.self, loop, clock, heartbeats, heartbeats, metrics)
     private val links = PeerLinks(settings.self, clock, loop.scope)
     private val store = RelayingRowStore(ownStore, storeHealth, fleet, links)
     private val budgets =
@@ -132,6 +132,7 @@
         metrics.gauge("chestnutloom.edge.waiting", scheduler) { it.waitingCount.toDouble() }
         metrics.gauge("chestnutloom.edge.turns.unsaved", turns) { it.unsavedCount.toDouble() }
         metrics.gauge("chestnutloom.edge.fleet.size", fleet) { it.size.toDouble() }
+        metrics.gauge("chestnutloom.edge.fleet.unresponsive", fleet) { it.unresponsiveCount.toDouble() }
         metrics.gauge(
             "chestnutloom.edge.configuration.version",
             configurations,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
@@ -1,6 +1,7 @@
 package org.chestnutloom.edge.fleet
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
@@ -21,10 +22,11 @@
     private val clock: Clock,
     private val source: FleetHeartbeatSource,
     private val listener: FleetListener,
+    metrics: MeterRegistry,
 ) {
     private val scope: CoroutineScope = loop.scope
     private val peersById = LinkedHashMap<GatewayId, Peer>()
-    private val socket = FleetHeartbeatSocket(self.address, loop, ::heartbeatReceived)
+    private val socket = FleetHeartbeatSocket(self.address, loop, HeartbeatMetrics(metrics), ::heartbeatReceived)
     private var isHeartbeatScheduled = false
 
     /** The sequence number of the last heartbeat that was sent. */
@@ -39,6 +41,10 @@
     public val size: Int
         get() = peersById.size + 1
 
+    /** The number of other gateways whose heartbeats are missing. */
+    public val unresponsiveCount: Int
+        get() = peersById.values.count { it.isUnresponsive }
+
     /** Whether the registered gateways have been read from the store at least once. */
     public var isMembershipKnown: Boolean = false
         private set
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetHeartbeatSocket.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetHeartbeatSocket.kt
@@ -21,6 +21,7 @@
 internal class FleetHeartbeatSocket(
     private val address: PeerAddress,
     private val loop: EdgeLoop,
+    private val metrics: HeartbeatMetrics,
     private val onHeartbeat: (FleetHeartbeat) -> Unit,
 ) {
     private val codec = CborCodec(FleetHeartbeat.serializer())
@@ -45,6 +46,7 @@
     ) {
         val bytes = codec.encode(heartbeat)
         receivers.forEach {
+            metrics.recordSent(bytes.size)
             channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), InetSocketAddress(it.host, it.port)))
         }
     }
@@ -54,16 +56,27 @@
         channel?.close()
     }
 
+    private fun handle(
+        bytes: ByteArray,
+        sender: InetSocketAddress,
+    ) {
+        codec
+            .decode(bytes)
+            .onRight(onHeartbeat)
+            .onLeft {
+                metrics.recordMalformed()
+                logger.warnEvent("beat_malformed", "from" to sender, "bytes" to bytes.size, "detail" to it.detail)
+            }
+    }
+
     private fun receiveHandler() =
         object : SimpleChannelInboundHandler<DatagramPacket>() {
             override fun channelRead0(
                 ctx: ChannelHandlerContext,
                 packet: DatagramPacket,
             ) {
-                codec
-                    .decode(ByteBufUtil.getBytes(packet.content()))
-                    .onLeft { logger.warnEvent("beat_malformed", "from" to packet.sender(), "detail" to it.detail) }
-                    .onRight(onHeartbeat)
+                val bytes = ByteBufUtil.getBytes(packet.content())
+                metrics.recordReceived(bytes.size) { handle(bytes, packet.sender()) }
             }
 
             override fun exceptionCaught(
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/FleetTurnPeersSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/FleetTurnPeersSpec.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.types.shouldBeInstanceOf
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.chestnutloom.edge.VirtualClock
@@ -38,7 +39,7 @@
 
         fun TestScope.fleet(): Fleet {
             val noHeartbeats = FleetHeartbeatSource { error("no heartbeat is sent in this test") }
-            return Fleet(member("g1"), loop, VirtualClock(this), noHeartbeats, NoOpListener)
+            return Fleet(member("g1"), loop, VirtualClock(this), noHeartbeats, NoOpListener, SimpleMeterRegistry())
         }
 
         fun TestScope.turnPeersOf(fleet: Fleet) =
