Receive heartbeats whole that list the accounts of a large deployment

Cause: a heartbeat lists the usage of every account and exceeds the 2,048 bytes that Netty's datagram channel reads by default. The rest is cut off, decoding fails (beat_malformed), and each gateway treats all others as silent: it admits a thirtieth of each rate, asks nobody to release a claim, and reports no turn as unknown.

The socket now reads datagrams of up to 16 KB, and a gateway does not send larger ones but logs heartbeat_too_large. Heartbeats still go to every gateway and still grow with the accounts.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetHeartbeatSocket.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetHeartbeatSocket.kt
@@ -6,6 +6,8 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
@@ -33,24 +35,30 @@
             Bootstrap()
                 .group(loop.group)
                 .channel(NioDatagramChannel::class.java)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
                 .handler(receiveHandler())
                 .bind(InetSocketAddress(address.host, address.port))
                 .sync()
                 .channel()
     }
 
-    /** Sends [heartbeat] to each of [receivers], without delivery guarantee. */
+    /** Sends [heartbeat] to each of [receivers], without delivery guarantee, unless it exceeds [MAX_DATAGRAM_BYTES]. */
     fun send(
         heartbeat: FleetHeartbeat,
         receivers: Collection<PeerAddress>,
     ) {
         val bytes = codec.encode(heartbeat)
+        if (bytes.size > MAX_DATAGRAM_BYTES) return logTooLarge(bytes.size)
         receivers.forEach {
             metrics.recordSent(bytes.size)
             channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), InetSocketAddress(it.host, it.port)))
         }
     }
 
+    private fun logTooLarge(bytes: Int) {
+        logger.warnEvent("heartbeat_too_large", "bytes" to bytes, "max" to MAX_DATAGRAM_BYTES)
+    }
+
     /** Closes the socket. */
     fun stop() {
         channel?.close()
@@ -86,4 +94,9 @@
                 logger.warnEvent("beat_socket_failed", "detail" to cause.message)
             }
         }
+
+    companion object {
+        /** The largest datagram that is sent. Receivers cut off what exceeds their buffer without an error. */
+        const val MAX_DATAGRAM_BYTES: Int = 16_384
+    }
 }
