Limit a partitioned gateway to its equal share of an account's burst

Cause: a gateway that receives no heartbeats limits itself to an equal share of the rate, but its level still grows to the whole burst. Idle gateways that are partitioned from each other save up one burst each.

The level now grows to the same share of the burst as of the rate, and to at least one request.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountTokenBucket.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/AccountTokenBucket.kt
@@ -10,9 +10,9 @@
  * Estimates the fleet-wide token bucket of one client account, in which each request takes one token.
  *
  * The level drops by the requests that this gateway admits and by those that other gateways report. An unresponsive
- * gateway is assumed to use an equal share of the rate, and immediately an equal share of the remaining level. A
- * gateway that receives no heartbeats therefore limits itself to its equal share, and all shares together stay within
- * the limit.
+ * gateway is assumed to use an equal share of the rate and of the burst, and immediately an equal share of the remaining
+ * level. A gateway that receives no heartbeats therefore limits itself to its equal share, and all shares together stay
+ * within the limit.
  *
  * A new bucket starts empty because earlier usage is unknown.
  */
@@ -128,8 +128,8 @@
         if (refilled <= 0) return
         val unresponsive = usageByPeer.values.filter { it.isUnresponsive }
         unresponsive.forEach { it.assumed += refilled * it.share }
-        val ownShare = 1.0 - unresponsive.sumOf { it.share }
-        level = (level + refilled * ownShare.coerceAtLeast(0.0)).coerceAtMost(capacity)
+        val ownShare = (1.0 - unresponsive.sumOf { it.share }).coerceAtLeast(0.0)
+        level = (level + refilled * ownShare).coerceAtMost((capacity * ownShare).coerceAtLeast(1.0))
     }
 
     private val capacity: Double
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/quota/AccountTokenBucketSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/quota/AccountTokenBucketSpec.kt
@@ -109,6 +109,14 @@
                 fleet.maxAdmittedIn(5.seconds) shouldBeLessThanOrEqual maxInWindow
             }
 
+            // Guards against a fleet in which each partitioned gateway saves up the whole burst for itself.
+            it("stays within rate and burst when all gateways have been partitioned and idle for long") {
+                val fleet = BucketFleet(6)
+                fleet.run(10.seconds, perHeartbeat = 0, loaded = setOf()) { true }
+                fleet.run(10.seconds, perHeartbeat = 20, loaded = (0..5).toSet()) { true }
+                fleet.maxAdmittedIn(5.seconds) shouldBeLessThanOrEqual maxInWindow
+            }
+
             it("stays within rate and burst after the partition heals") {
                 val fleet = BucketFleet(6)
                 fleet.run(2.seconds, perHeartbeat = 0, loaded = setOf())
