Acknowledge the release of a budget claim to the gateway that asked for it

Callers got 503 'The budget is being reserved by another gateway.' for turns that came to another gateway than the one before, also while all gateways were in touch.

Cause: the reply to TrimBudget was built by an inlined also { } around a suspending call. When the call really suspends, which it does for each write to the store, the compiled code resumes with Unit in place of the reply; the link's handler fails (link_handler_failed, ClassCastException) and the other gateway counts the claim as not released.

EdgeLinkHandlerSpec gets Unit before the change and Done after it. The same shape around a suspending call does not occur elsewhere in the sources.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
@@ -45,12 +45,17 @@
         when (request) {
             is ReadStore -> read(request)
             is ChangeStore -> change(request)
-            is TrimBudget -> Done.also { budgets.trim(request.program) }
+            is TrimBudget -> trim(request)
             is CopyTurn -> acceptReplica(request)
             is FindTurn -> TurnFound(turns.find(request.turn))
             else -> refusal("Edge gateways do not support this request type.")
         }
 
+    private suspend fun trim(request: TrimBudget): LinkReply {
+        budgets.trim(request.program)
+        return Done
+    }
+
     private suspend fun read(request: ReadStore): StoreReply =
         store
             .read(request.table, request.partition)
