Stop reading a target's response that has no end

A target in trouble may send bytes that are no response without end, in a head or a body, until the caller closes.

Before the change a gateway read such bytes until the deadline of the request: 5.4 GB in 2 s behind a response to another request, 98 MB of interim responses; an event or its lines without end were collected in memory, 75 MB in 4 s.

A connection now fails after 1 MiB without the head of the response that it waits for, and a stream after 1 MiB without the end of an event or 4 MiB of data. The connection is closed, the request ends with an unknown outcome (502), a stream that has begun is broken off, and the next request uses a new connection.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
@@ -99,11 +99,12 @@
             when (part) {
                 is ResponsePart.Data -> {
                     events?.read(part.bytes)
+                    if (events?.isTooLarge == true) return logAborted(call, "event or stream is too large")
                     call.exchange.send(part.bytes)
                     applyBackpressure(call, connection)
                 }
                 is ResponsePart.End -> return true
-                is ResponsePart.Aborted -> return logAborted(call, part)
+                is ResponsePart.Aborted -> return logAborted(call, part.cause)
                 is ResponsePart.Head -> return false
             }
         }
@@ -112,9 +113,9 @@
 
     private fun logAborted(
         call: RoutedCall,
-        part: ResponsePart.Aborted,
+        cause: String,
     ): Boolean {
-        logger.warnEvent("answer_broken", "call" to call.id, "target" to call.lastTarget, "cause" to part.cause)
+        logger.warnEvent("answer_broken", "call" to call.id, "target" to call.lastTarget, "cause" to cause)
         return false
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -76,6 +76,19 @@
         context?.channel()?.config()?.isAutoRead = isEnabled
     }
 
+    /**
+     * Records that the server sent [bytes], and returns whether they may be decoded. Fails the exchange when too many
+     * have arrived without the head of its response.
+     */
+    internal fun acceptsBytes(bytes: Int): Boolean {
+        val active = exchange ?: return true
+        if (active.hasHead) return true
+        active.bytesBeforeHead += bytes
+        if (active.bytesBeforeHead <= MAX_BYTES_BEFORE_HEAD) return true
+        failAndClose("server sent ${active.bytesBeforeHead} bytes without the head of the response")
+        return false
+    }
+
     /** Closes the connection immediately. */
     internal fun close() {
         isUsable = false
@@ -121,6 +134,7 @@
         if (active.isSkipping) return
         if (!HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)) isUsable = false
         keepAliveTimeout = keepAliveTimeoutOf(response)
+        active.hasHead = true
         active.parts.trySend(ResponsePart.Head(response))
     }
 
@@ -164,5 +178,14 @@
     ) {
         val parts = Channel<ResponsePart>(Channel.UNLIMITED)
         var isSkipping = false
+
+        /** Whether the head of the response to this request has arrived. */
+        var hasHead = false
+        var bytesBeforeHead = 0
+    }
+
+    private companion object {
+        /** Enough for a late response to an earlier request, which is skipped. */
+        const val MAX_BYTES_BEFORE_HEAD = 1024 * 1024
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
@@ -61,6 +61,7 @@
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
                 channel.pipeline().addLast(
+                    ReceivedBytesHandler(connection),
                     HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
                     connection,
                 )
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/EventStreamParser.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/EventStreamParser.kt
@@ -13,6 +13,7 @@
     private val line = ByteArrayOutputStream()
     private val data = ByteArrayOutputStream()
     private val output = ByteArrayOutputStream()
+    private var eventBytes = 0
     private var hasData = false
     private var lastWasCarriageReturn = false
 
@@ -20,12 +21,18 @@
     public var eventCount: Int = 0
         private set
 
+    /** Whether the stream exceeded a limit and is no longer parsed: [MAX_EVENT_BYTES] or [MAX_OUTPUT_BYTES]. */
+    public var isTooLarge: Boolean = false
+        private set
+
     /** Returns the data of the events so far, each followed by a line feed. */
     public fun output(): ByteArray = output.toByteArray()
 
     /** Parses the next [bytes] of the stream. */
     public fun read(bytes: ByteArray) {
-        bytes.forEach(::read)
+        eventBytes += bytes.size
+        if (eventBytes > MAX_EVENT_BYTES || output.size() > MAX_OUTPUT_BYTES) isTooLarge = true
+        if (!isTooLarge) bytes.forEach(::read)
     }
 
     private fun read(byte: Byte) {
@@ -57,6 +64,7 @@
     private fun endEvent() {
         if (!hasData) return
         eventCount++
+        eventBytes = 0
         hasData = false
         if (!collectsData) return
         data.write(LINE_FEED.toInt())
@@ -65,6 +73,12 @@
     }
 
     private companion object {
+        /** Far above an event of a model's response, comments and other fields included. */
+        private const val MAX_EVENT_BYTES = 1024 * 1024
+
+        /** Far above the longest response of a model. */
+        private const val MAX_OUTPUT_BYTES = 4 * 1024 * 1024
+
         private const val LINE_FEED = '\n'.code.toByte()
         private const val CARRIAGE_RETURN = '\r'.code.toByte()
         private const val SPACE_BYTE = ' '.code.toByte()
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedTarget.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedTarget.kt
@@ -13,10 +13,13 @@
 import kotlinx.coroutines.launch
 import org.chestnutloom.fakes.StandIn
 import java.io.IOException
+import java.io.OutputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
 
 /** A target that writes the raw responses of [script], so that tests can send malformed HTTP. */
 public class ScriptedTarget(
@@ -34,6 +37,17 @@
     public var connections: Int = 0
         private set
 
+    private val written = AtomicLong()
+
+    /** The number of bytes that were written so far, until the caller stopped reading them. */
+    public val writtenBytes: Long
+        get() = written.get()
+
+    /** The number of endless responses that ended because the caller closed the connection. */
+    @Volatile
+    public var endedByCaller: Int = 0
+        private set
+
     override val port: Int
         get() = checkNotNull(serverSocket).localPort
 
@@ -105,15 +119,36 @@
         response: ScriptedResponse,
     ): Boolean {
         val output = socket.getOutputStream()
-        for (chunk in response.chunks) {
-            delay(response.pause)
-            output.write(chunk.encodeToByteArray())
-            output.flush()
-        }
+        response.chunks.forEach { write(it.encodeToByteArray(), output, response.pause) }
+        if (response.isEndless) writeUntilClosed(response.chunks.last().encodeToByteArray(), output, response.pause)
         if (response.connectionAction == ConnectionAction.RESET) socket.setSoLinger(true, 0)
         return response.connectionAction == ConnectionAction.KEEP_ALIVE
     }
 
+    private suspend fun write(
+        bytes: ByteArray,
+        output: OutputStream,
+        pause: Duration,
+    ) {
+        delay(pause)
+        output.write(bytes)
+        output.flush()
+        written.addAndGet(bytes.size.toLong())
+    }
+
+    private suspend fun writeUntilClosed(
+        bytes: ByteArray,
+        output: OutputStream,
+        pause: Duration,
+    ) {
+        try {
+            while (true) write(bytes, output, pause)
+        } catch (e: IOException) {
+            endedByCaller++
+            throw e
+        }
+    }
+
     private companion object {
         private const val BACKLOG_CONNECTIONS = 64
     }
