--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
@@ -189,9 +189,9 @@
 
     /** Returns a part of the states that arrived since the last call, of those peers first that were relayed least recently. */
     private fun takeRelayedStates(): List<GatewayState> {
-        val arrived = if (topology.isFullMesh) emptyList() else toRelay.shuffled(random)
+        val arrived = toRelay.shuffled(random)
         toRelay.clear()
-        val relayed = arrived.sortedBy { it.relayedAtSequence }.take(MAX_RELAYED_STATES)
+        val relayed = arrived.sortedBy { it.relayedAtSequence }.take(topology.relayedStates)
         relayed.forEach { it.relayedAtSequence = lastSequence }
         return relayed.mapNotNull { it.state }
     }
@@ -240,8 +240,5 @@
 
         /** An isolated gateway must give up its rate share before others report it as failed. */
         private const val ISOLATED_AFTER_HEARTBEATS = 70
-
-        /** With the fan-out, this determines how fast a state spreads: through 100 gateways in a few intervals. */
-        private const val MAX_RELAYED_STATES = 8
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetTopology.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetTopology.kt
@@ -26,14 +26,28 @@
     val neighbors: Set<GatewayId> =
         if (isFullMesh) registered - self else ring.neighborsOf(self, distance = ACCOUNT_REPLICAS - 1)
 
+    /**
+     * The number of states of other gateways that a heartbeat relays: enough that each one spreads within a few
+     * intervals, up to a fixed number.
+     */
+    val relayedStates: Int =
+        if (isFullMesh) 0 else (ring.size / HEARTBEAT_FANOUT + 1).coerceAtMost(MAX_RELAYED_STATES)
+
+    private val replicasByAccount = HashMap<ClientAccountId, ImmutableList<GatewayId>>()
+
     /** Returns the gateways that enforce the rate limit of [account], the preferred one first. */
     fun replicasOf(account: ClientAccountId): ImmutableList<GatewayId> =
-        ring.successorsOf(account.value, if (isFullMesh) ring.size else ACCOUNT_REPLICAS)
+        replicasByAccount.getOrPut(account) {
+            ring.successorsOf(account.value, if (isFullMesh) ring.size else ACCOUNT_REPLICAS)
+        }
 
     internal companion object {
         /** The number of gateways that get a heartbeat of this one at each interval. */
         const val HEARTBEAT_FANOUT: Int = 8
 
+        /** With the fan-out, this determines how fast a state spreads: through 100 gateways in two seconds. */
+        const val MAX_RELAYED_STATES: Int = 8
+
         /** The gateways that enforce the limit of one account in a large fleet: any two of them may fail at once. */
         const val ACCOUNT_REPLICAS: Int = 3
     }
