Refuse a request at once when no replica of its account is reachable

A gateway that was cut off from the replicas of an account asked each of them in turn and waited for replies, up to 2.8 s for a request that could not be admitted.

It now skips replicas that are known to be unresponsive, and waits after the last one only if a reply is outstanding. LargeFleetQuotaSpec: refused after 0 ms once the silence is known.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/QuotaClient.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/QuotaClient.kt
@@ -78,24 +78,27 @@
         request: QuotaRequest,
         replies: ReceiveChannel<ReceivedReply>,
     ): ReceivedReply? {
+        var isReplyPending = false
         for (replica in candidates(request.account)) {
             transport.send(request, listOf(replica.member.address))
             val reply = withTimeoutOrNull(HEDGE_DELAY) { replies.receive() }
-            if (reply == null) avoid(replica, request)
-            if (reply != null && reply.isDecision) return reply
-            if (reply != null && reply.isQueued) return awaitDecision(request, replies)
+            when {
+                reply == null -> {
+                    avoid(replica, request)
+                    isReplyPending = true
+                }
+                reply.isDecision -> return reply
+                // The replica lets a request wait for up to twice the expected time.
+                reply.isQueued -> return awaitDecision(replies, request.maxWaitMs.milliseconds * 2 + REPLY_TIMEOUT)
+            }
         }
-        return awaitDecision(request, replies)
+        return if (isReplyPending) awaitDecision(replies, REPLY_TIMEOUT) else null
     }
 
     private suspend fun awaitDecision(
-        request: QuotaRequest,
         replies: ReceiveChannel<ReceivedReply>,
-    ): ReceivedReply? {
-        // The replica lets a request wait for up to twice the expected time.
-        val wait = request.maxWaitMs.milliseconds * 2 + REPLY_TIMEOUT
-        return withTimeoutOrNull(wait) { replies.receiveAsFlow().first { it.isDecision } }
-    }
+        timeout: Duration,
+    ): ReceivedReply? = withTimeoutOrNull(timeout) { replies.receiveAsFlow().first { it.isDecision } }
 
     private fun resultOf(decision: ReceivedReply?): Either<Refusal, QuotaGrant> =
         when (decision?.reply?.outcome) {
@@ -104,12 +107,13 @@
             else -> noReplica().left()
         }
 
-    /** Returns the replicas in order of preference; those that have recently not replied come last. */
+    /** Returns the replicas that are heard, in order of preference; those that have recently not replied come last. */
     private fun candidates(account: ClientAccountId): List<Peer> =
         fleet
             .replicasOf(account)
             .mapNotNull(fleet::peer)
-            .sortedBy { it.isUnresponsive || isAvoided(it) }
+            .filterNot { it.isUnresponsive }
+            .sortedBy(::isAvoided)
 
     private fun isAvoided(peer: Peer): Boolean =
         avoidedUntil[peer.member.gateway].let { it != null && clock.elapsed() < it }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/quota/LargeFleetQuotaSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/quota/LargeFleetQuotaSpec.kt
@@ -74,6 +74,12 @@
         if (result.isRight()) admittedAtMs += test.currentTime else refused++
     }
 
+    suspend fun elapsedIn(action: suspend () -> Unit): Duration {
+        val start = test.currentTime
+        action()
+        return (test.currentTime - start).milliseconds
+    }
+
     /** The largest number of requests admitted in any [WINDOW]. */
     fun maxInWindow(): Int =
         admittedAtMs.maxOfOrNull { start -> admittedAtMs.count { it in start..<start + WINDOW.inWholeMilliseconds } }
@@ -166,5 +172,15 @@
                     refusal?.code shouldBe RefusalCode.GATEWAY_STALE
                 }
             }
+
+            it("is refused at once when it is known that no replica is reachable") {
+                withLoad { load ->
+                    val gateway = load.fleet.gateways.first { it.id !in load.replicaIds }
+                    load.fleet.isCut = { from, to -> from == gateway.id || to == gateway.id }
+                    delay(4.seconds)
+                    load.elapsedIn { gateway.admission.admit(ACCOUNT, startsProgram = false, 1.seconds) } shouldBe
+                        Duration.ZERO
+                }
+            }
         }
     })
