Let only registered gateways enforce the rate limits of accounts

Found while reading the placement: a gateway whose row was removed still counted itself among the replicas of its accounts, while the others placed them on the next gateway. Each side could admit the whole rate until it was registered again.

A gateway now enforces limits only while its own row is known, and is ready once it has seen it. LargeFleetSpec removes and writes the row.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
@@ -56,7 +56,7 @@
     public val unresponsiveCount: Int
         get() = peersById.values.count { it.isUnresponsive }
 
-    /** Whether the registered gateways have been read from the store at least once. */
+    /** Whether the registered gateways, with this one among them, have been read from the store at least once. */
     public var isMembershipKnown: Boolean = false
         private set
 
@@ -85,7 +85,6 @@
 
     /** Replaces the known members by [members], the complete list of registered gateways. */
     public fun replaceAll(members: Collection<RegisteredMember>) {
-        isMembershipKnown = true
         val ids = members.map { it.member.gateway }.toSet()
         (peersById.keys - ids).forEach(::removePeer)
         if (self.gateway !in ids) removeSelf()
@@ -95,18 +94,20 @@
 
     /** Adds or updates a registered gateway. */
     public fun update(registered: RegisteredMember) {
-        val isKnown = registered.member.gateway in peersById
+        val before = registeredGateways
         put(registered)
-        if (!isKnown) updateTopology()
+        if (registeredGateways != before) updateTopology()
     }
 
     /** Removes the gateway [id], which is no longer registered. */
     public fun remove(id: GatewayId) {
-        if (id == self.gateway) return removeSelf()
-        removePeer(id)
+        if (id == self.gateway) removeSelf() else removePeer(id)
         updateTopology()
     }
 
+    private val registeredGateways: Set<GatewayId>
+        get() = if (ownRowVersion == null) peersById.keys.toSet() else peersById.keys + self.gateway
+
     private fun put(registered: RegisteredMember) {
         val member = registered.member
         if (member.gateway == self.gateway) return updateSelf(registered)
@@ -133,7 +134,9 @@
     }
 
     private fun updateSelf(registered: RegisteredMember) {
-        if (registered.member.incarnation == self.incarnation) ownRowVersion = registered.rowVersion
+        if (registered.member.incarnation != self.incarnation) return
+        ownRowVersion = registered.rowVersion
+        isMembershipKnown = true
     }
 
     private fun removeSelf() {
@@ -150,7 +153,7 @@
     }
 
     private fun updateTopology() {
-        topology = FleetTopology(self.gateway, peersById.keys)
+        topology = FleetTopology(self.gateway, registeredGateways)
         for (peer in peersById.values) {
             val isNeighbor = peer.member.gateway in topology.neighbors
             // A new neighbor has not been sending every heartbeat to this gateway so far.
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetTopology.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetTopology.kt
@@ -11,13 +11,15 @@
  * gateway has a fixed number of neighbors on a [HashRing]. The replicas of an account are consecutive gateways on the
  * ring and therefore neighbors of each other, so that what a gateway sends does not grow with the fleet.
  *
- * @param self this gateway, which counts as a member even while it is not registered
+ * @param self this gateway, which exchanges heartbeats even while it is not registered, but enforces no limits then
+ * @param registered the registered gateways
  */
 internal class FleetTopology(
     self: GatewayId,
     registered: Set<GatewayId>,
 ) {
     private val ring = HashRing(registered + self)
+    private val placement = HashRing(registered)
 
     /** Whether each gateway is a neighbor of every other one. */
     val isFullMesh: Boolean = ring.size <= HEARTBEAT_FANOUT + 1
@@ -38,7 +40,7 @@
     /** Returns the gateways that enforce the rate limit of [account], the preferred one first. */
     fun replicasOf(account: ClientAccountId): ImmutableList<GatewayId> =
         replicasByAccount.getOrPut(account) {
-            ring.successorsOf(account.value, if (isFullMesh) ring.size else ACCOUNT_REPLICAS)
+            placement.successorsOf(account.value, if (isFullMesh) placement.size else ACCOUNT_REPLICAS)
         }
 
     internal companion object {
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/LargeFleetSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/LargeFleetSpec.kt
@@ -117,6 +117,23 @@
             }
         }
 
+        // Guards against a gateway that admits requests of accounts which the others no longer place on it.
+        describe("a gateway whose row was removed") {
+            it("enforces no limit until it is registered again") {
+                runTest {
+                    withFleet(30) { fleet ->
+                        val removed = fleet.gateways.first()
+                        val accounts = List(200) { ClientAccountId("account-$it") }
+                        accounts.any { removed.id in removed.fleet.replicasOf(it) } shouldBe true
+                        removed.fleet.remove(removed.id)
+                        accounts.any { removed.id in removed.fleet.replicasOf(it) } shouldBe false
+                        removed.fleet.update(fleet.registrationOf(removed))
+                        accounts.any { removed.id in removed.fleet.replicasOf(it) } shouldBe true
+                    }
+                }
+            }
+        }
+
         describe("a gateway that is cut off from its neighbors alone") {
             it("is still heard by the others, and unresponsive for the neighbors") {
                 runTest {
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/SimulatedFleet.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/SimulatedFleet.kt
@@ -44,6 +44,8 @@
         gateways.forEach { it.fleet.start() }
     }
 
+    fun registrationOf(gateway: Gateway) = RegisteredMember(members.first { it.gateway == gateway.id }, rowVersion = 2)
+
     private fun memberOf(index: Int) =
         Member(GatewayId("gateway-$index"), Incarnation("1"), "siracusa", PeerAddress("10.0.0.$index", port = 7_780))
 
