Turn to the next gateways on the ring for copies and for the store

While the store was unavailable, a gateway copied turns to five random others and relayed its calls through a random one, so that it opened links to all gateways of the fleet, with a heartbeat a second each: the same cause as the heartbeats to all. It now takes the next ones on the hash ring, for copies those in other failure domains first, and relays through one of the next three that reach the store.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
@@ -48,6 +48,13 @@
     public val peers: Collection<Peer>
         get() = peersById.values
 
+    /**
+     * The other gateways in the order in which they follow this one on the hash ring. Each gateway turns to the first of
+     * them, so that it needs links to a few gateways only, and each gateway serves equally many others.
+     */
+    internal val peersInRingOrder: List<Peer>
+        get() = topology.others.mapNotNull(peersById::get)
+
     /** The number of gateways in the fleet, including this one. */
     public val size: Int
         get() = peersById.size + 1
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetTopology.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetTopology.kt
@@ -28,6 +28,9 @@
     val neighbors: Set<GatewayId> =
         if (isFullMesh) registered - self else ring.neighborsOf(self, distance = ACCOUNT_REPLICAS - 1)
 
+    /** The other gateways in the order in which they follow this one on the ring. */
+    val others: ImmutableList<GatewayId> = ring.othersAfter(self)
+
     /**
      * The number of states of other gateways that a heartbeat relays: enough that each one spreads within a few
      * intervals, up to a fixed number.
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetTurnPeers.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetTurnPeers.kt
@@ -27,9 +27,8 @@
         get() = fleet.lastSequence
 
     override fun reachablePeers(): List<GatewayRun> =
-        fleet.peers
+        fleet.peersInRingOrder
             .filterNot { it.isUnresponsive }
-            .shuffled()
             .sortedBy { it.member.failureDomain == self.failureDomain }
             .mapNotNull { it.run }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/HashRing.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/HashRing.kt
@@ -39,6 +39,12 @@
         return (1..distance).flatMap { listOf(at(index - it), at(index + it)) }.toSet() - member
     }
 
+    /** Returns all other gateways in the order in which they follow [member] on the ring. */
+    fun othersAfter(member: GatewayId): ImmutableList<GatewayId> {
+        val index = entries.indexOfFirst { it.gateway == member }
+        return List(size - 1) { at(index + 1 + it) }.toImmutableList()
+    }
+
     private fun at(index: Int): GatewayId = entries[index.mod(size)].gateway
 
     private class Entry(
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/RelayingRowStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/RelayingRowStore.kt
@@ -91,15 +91,19 @@
         return reply.getOrNull() as? StoreReply
     }
 
-    /** Returns a random gateway that has recently reached the store, or null. */
+    /** Returns one of the next gateways that have recently reached the store, or null. */
     private fun relayPeer(): Peer? =
-        fleet.peers
+        fleet.peersInRingOrder
             .filter { !it.isUnresponsive && it.state?.reachesStore == true }
+            .take(RELAY_PEERS)
             .randomOrNull()
 
     private companion object {
         private val NO_RELAY_PEER =
             StoreFailure.Unavailable("neither this gateway nor any other gateway reaches the store")
+
+        /** More than one, so that a call that is retried usually takes another way. */
+        private const val RELAY_PEERS = 3
         private val RELAY_TIMEOUT = 1_200.milliseconds
         private val RELAYED_WATCH_INTERVAL = 300.milliseconds
     }
