Let the stand-in of the row store report a version that its rows match

Cause: the stand-in read the rows, and the version for the response only afterwards. The real store's responses are linearizable.

The version is read first now; a watch may deliver a row twice, which listeners allow.

--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/RowStoreStandIn.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/RowStoreStandIn.kt
@@ -97,8 +97,10 @@
 
     private suspend fun read(call: ApplicationCall) {
         val parameters = call.request.queryParameters
+        // Read before the rows, so that a watch from this version delivers all changes that the rows do not contain.
+        val version = rows.version
         val found = rows.read(parameters["table"].orEmpty(), parameters["part"].orEmpty())
-        call.respondRows(HttpStatusCode.OK, found)
+        call.respondRows(HttpStatusCode.OK, found, version)
     }
 
     private suspend fun feed(call: ApplicationCall) {
@@ -112,12 +114,11 @@
                 .orEmpty()
                 .toLong()
         if (!rows.hasHistoryAfter(after)) return call.respondText("", status = HttpStatusCode.Gone)
-        val changed =
-            withTimeoutOrNull(waitMs.milliseconds) {
-                while (rows.changedAfter(table, after).isEmpty()) delay(POLL_INTERVAL)
-                rows.changedAfter(table, after)
-            }
-        call.respondRows(HttpStatusCode.OK, changed.orEmpty())
+        withTimeoutOrNull(waitMs.milliseconds) {
+            while (rows.changedAfter(table, after).isEmpty()) delay(POLL_INTERVAL)
+        }
+        val version = rows.version
+        call.respondRows(HttpStatusCode.OK, rows.changedAfter(table, after), version)
     }
 
     private suspend fun transact(call: ApplicationCall) {
@@ -126,7 +127,7 @@
         val conflict = rows.transact(conditions, body.rows("put"), body.rows("remove"))
         if (fault == StoreFault.LOSE_REPLIES) awaitCancellation()
         val status = if (conflict == null) HttpStatusCode.OK else HttpStatusCode.PreconditionFailed
-        call.respondRows(status, conflict.orEmpty())
+        call.respondRows(status, conflict.orEmpty(), rows.version)
     }
 
     private fun JsonObject.rows(name: String): List<VersionedRow> =
@@ -143,12 +144,13 @@
     private suspend fun ApplicationCall.respondRows(
         status: HttpStatusCode,
         found: List<VersionedRow>,
+        version: Long,
     ) {
         val body =
             buildJsonObject {
                 put("rows", JsonArray(found.map(::encode)))
                 put("hasMore", JsonPrimitive(false))
-                put("ver", rows.version)
+                put("ver", version)
                 put("nowMs", System.nanoTime() / NANOS_PER_MS)
             }
         respondText(body.toString(), ContentType.Application.Json, status)
