Measure what an edge gateway costs to start, to serve its first calls and at rest

bin/benchmark edge starts the command of deploy/system.toml with one processor, as the small VMs have, and prints the processor time until the gateway listens, two seconds after it is ready, and for each of its first hundred calls, peak memory and classes outside the archive; with fleet sizes as arguments, also the processor time without callers. bin/benchmark edge-classes records the classes for the archive from a gateway that serves calls of each kind, before, during and after an outage of the store.

--- /dev/null
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/benchmark/EdgeLoad.kt
@@ -0,0 +1,99 @@
+package org.chestnutloom.integration.benchmark
+
+import kotlinx.coroutines.future.await
+import org.chestnutloom.fakes.edge.RowStoreStandIn
+import org.chestnutloom.fakes.edge.ScriptedTarget
+import org.chestnutloom.integration.edge.EdgeEnvironment
+import org.chestnutloom.integration.edge.signedResponse
+import org.chestnutloom.integration.edge.streamResponse
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+
+/** Sends calls of each kind to edge gateways, with a target for each service behind them. */
+internal class EdgeLoad(
+    store: RowStoreStandIn,
+) {
+    private val environment = EdgeEnvironment(store)
+    private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+    private val tools = ScriptedTarget { signedResponse(it, "ok") }
+    private val engine = ScriptedTarget { streamResponse(it, List(EVENTS) { "event" }) }
+    private var calls = 0
+
+    /** Starts the targets and writes the configuration and their rows. */
+    suspend fun start() {
+        tools.start()
+        engine.start()
+        environment.configure(version = 1, ratePerSecond = RATE_PER_SECOND, burst = RATE_PER_SECOND)
+        environment.putTarget("tools", EdgeEnvironment.PLAIN, tools.port)
+        environment.putTarget("engine", EdgeEnvironment.LLM, engine.port)
+    }
+
+    /** Stops the targets. */
+    suspend fun stop() {
+        tools.stop()
+        engine.stop()
+    }
+
+    /** Runs a program of two turns and two tool calls, spread over [gateways], and returns the statuses. */
+    suspend fun program(gateways: List<EdgeProcess>): List<Int> {
+        val program = "p${++calls}"
+        val first = "$program-1"
+        return listOf(
+            turn(gateways.first(), program, first, previous = null),
+            send(gateways.first(), "/plain/read", "$program-2", emptyMap()),
+            send(gateways.last(), "/pay/book", "$program-3", emptyMap()),
+            turn(gateways.last(), program, "$program-4", previous = first),
+        )
+    }
+
+    private suspend fun turn(
+        gateway: EdgeProcess,
+        program: String,
+        id: String,
+        previous: String?,
+    ): Int {
+        val headers =
+            mapOf(
+                "Chestnutloom-Program-Id" to program,
+                "Chestnutloom-Token-Budget" to "10000",
+                "Chestnutloom-Token-Usage" to "10,100",
+            )
+        return send(
+            gateway,
+            "/chat/turn",
+            id,
+            headers + previous?.let { mapOf("Chestnutloom-Previous-Turn" to it) }.orEmpty(),
+        )
+    }
+
+    private suspend fun send(
+        gateway: EdgeProcess,
+        path: String,
+        id: String,
+        headers: Map<String, String>,
+    ): Int {
+        val request =
+            HttpRequest
+                .newBuilder(URI("${gateway.callerUrl}$path"))
+                .POST(HttpRequest.BodyPublishers.ofString("input of $id"))
+                .header("Host", "a.example")
+                .header("Authorization", "Token key-a")
+                .header("Chestnutloom-Attempt-Id", id)
+                .header("Chestnutloom-Deadline-Ms", "$CALLER_TIMEOUT_MS")
+        headers.forEach { (name, value) -> request.header(name, value) }
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString()).await().statusCode()
+    }
+
+    companion object {
+        init {
+            // The host selects the route, so that it has to be that of the configuration.
+            System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host")
+        }
+
+        private const val EVENTS = 12
+        private const val RATE_PER_SECOND = 100_000
+        private const val CALLER_TIMEOUT_MS = 4_000
+    }
+}
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
@@ -25,6 +25,7 @@
 /** Edge gateways of one test with a stand-in for the row store and scripted targets. */
 class EdgeFleet {
     val store = RowStoreStandIn()
+    private val environment = EdgeEnvironment(store)
     private val targets = ArrayList<ScriptedTarget>()
     private val nodes = LinkedHashMap<String, Node>()
     private var startCount = 0
@@ -92,14 +93,7 @@
         service: String,
         port: Int,
         state: String = "ready",
-    ) {
-        store.put(
-            "servers",
-            id,
-            """{"service":"$service","address":"127.0.0.1:$port","zone":"siracusa","version":"v1","slots":4,""" +
-                """"state":"$state","coldRemainingMs":0,"sequence":1,"born":1700000000000}""",
-        )
-    }
+    ) = environment.putTarget(id, service, port, state)
 
     /** Writes a configuration to the store. */
     fun configure(
@@ -108,21 +102,7 @@
         burst: Int = 0,
         extraRoutes: String = "",
         keys: String = "\"key-a\"",
-    ) {
-        store.put(
-            "op",
-            "config",
-            """{"version":$version,"routes":[
-            ${route("plain", "idempotent", PLAIN, 3)},${route("pay", "non_idempotent", PLAIN, 2)},
-            ${route("chat", "streaming", LLM, 1, "\"retained\":true,\"retentionS\":60")}$extraRoutes],
-            "services":[{"name":"$PLAIN","healthPath":"/health","maxConnections":50},
-             {"name":"$LLM","healthPath":"/health","maxConnections":50,"engine":{"slots":4,"kvCapacityTokens":10000,
-              "tokensPerEvent":10}}],
-            "limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000000,"headerTimeoutMs":1000,"idleTimeoutMs":15000},
-            "tenants":[{"name":"account-a","apiKeys":[$keys],"ratePerS":$ratePerSecond,"burst":$burst},
-             {"name":"account-b","apiKeys":["key-b"]}]}""",
-        )
-    }
+    ) = environment.configure(version, ratePerSecond, burst, extraRoutes, keys)
 
     /** Returns a route as JSON whose path prefix is [name], with [extraFields] appended to its fields. */
     fun route(
@@ -131,9 +111,7 @@
         service: String,
         maxAttempts: Int,
         extraFields: String = "\"retained\":false",
-    ): String =
-        """{"name":"$name","host":"a.example","prefix":"/$name/","routeKind":"$kind","timeoutMs":2000,""" +
-            """"targetLatencyMs":200,"priority":0,"service":"$service","maxAttempts":$maxAttempts,$extraFields}"""
+    ): String = environment.route(name, kind, service, maxAttempts, extraFields)
 
     private fun settingsOf(name: String): EdgeSettings =
         EdgeSettings(
@@ -159,7 +137,7 @@
         }
 
     companion object {
-        const val PLAIN = "shop"
-        const val LLM = "engines"
+        const val PLAIN = EdgeEnvironment.PLAIN
+        const val LLM = EdgeEnvironment.LLM
     }
 }
