--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/AdminServer.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/AdminServer.kt
@@ -1,54 +1,72 @@
 package org.chestnutloom.daemon
 
-import io.ktor.http.ContentType
-import io.ktor.http.HttpStatusCode
-import io.ktor.server.application.ApplicationCall
-import io.ktor.server.cio.CIO
-import io.ktor.server.engine.EmbeddedServer
-import io.ktor.server.engine.embeddedServer
-import io.ktor.server.response.respondText
-import io.ktor.server.routing.get
-import io.ktor.server.routing.routing
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import com.sun.net.httpserver.HttpExchange
+import com.sun.net.httpserver.HttpServer
 import org.chestnutloom.common.node.Node
 import org.chestnutloom.wire.link.PeerAddress
+import java.net.HttpURLConnection
+import java.net.InetSocketAddress
+import java.util.concurrent.Executors
 
-/** Serves health checks and metrics over HTTP. */
+/**
+ * Serves health checks and metrics over HTTP.
+ *
+ * It uses the server of the JDK: a process that serves no other HTTP with Ktor would load all of Ktor's server for it.
+ */
 internal class AdminServer(
     private val bind: PeerAddress,
-    private val metrics: PrometheusMeterRegistry,
+    private val metrics: ProcessMetrics,
     private val node: Node,
 ) {
-    private val server: EmbeddedServer<*, *> =
-        embeddedServer(CIO, port = bind.port, host = bind.host) {
-            routing {
-                get("/live") { call.respondText("live\n") }
-                get("/ready") { respondReadiness(call) }
-                get("/metrics") { call.respondText(metrics.scrape(), METRICS_CONTENT_TYPE) }
-            }
-        }
+    private val server = HttpServer.create()
+    private val threads = Executors.newFixedThreadPool(THREADS) { Thread(it, "admin").apply { isDaemon = true } }
 
     /** Starts listening and returns the port. */
-    suspend fun start(): Int {
-        server.startSuspend(wait = false)
-        return server.engine
-            .resolvedConnectors()
-            .first()
-            .port
+    fun start(): Int {
+        server.bind(InetSocketAddress(bind.host, bind.port), DEFAULT_BACKLOG)
+        server.executor = threads
+        server.createContext("/") { exchange -> exchange.use(::respond) }
+        server.start()
+        return server.address.port
     }
 
     /** Stops without a grace period. */
-    suspend fun stop() {
-        server.stopSuspend(gracePeriodMillis = 0, timeoutMillis = STOP_TIMEOUT_MS)
+    fun stop() {
+        server.stop(0)
+        threads.shutdownNow()
+    }
+
+    private fun respond(exchange: HttpExchange) {
+        if (exchange.requestMethod != "GET") return respond(exchange, HttpURLConnection.HTTP_BAD_METHOD, "GET only\n")
+        when (exchange.requestURI.path) {
+            "/live" -> respond(exchange, HttpURLConnection.HTTP_OK, "live\n")
+            "/ready" -> respondReadiness(exchange)
+            "/metrics" -> respond(exchange, HttpURLConnection.HTTP_OK, metrics.scrape(), METRICS_CONTENT_TYPE)
+            else -> respond(exchange, HttpURLConnection.HTTP_NOT_FOUND, "not found\n")
+        }
+    }
+
+    private fun respondReadiness(exchange: HttpExchange) {
+        if (node.isReady) return respond(exchange, HttpURLConnection.HTTP_OK, "ready\n")
+        respond(exchange, HttpURLConnection.HTTP_UNAVAILABLE, "not ready\n")
     }
 
-    private suspend fun respondReadiness(call: ApplicationCall) {
-        val status = if (node.isReady) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
-        call.respondText(if (node.isReady) "ready\n" else "not ready\n", status = status)
+    private fun respond(
+        exchange: HttpExchange,
+        status: Int,
+        body: String,
+        contentType: String = TEXT_CONTENT_TYPE,
+    ) {
+        val bytes = body.encodeToByteArray()
+        exchange.responseHeaders["Content-Type"] = contentType
+        exchange.sendResponseHeaders(status, bytes.size.toLong())
+        exchange.responseBody.write(bytes)
     }
 
     private companion object {
-        private const val STOP_TIMEOUT_MS = 500L
-        private val METRICS_CONTENT_TYPE = ContentType.parse("text/plain; version=0.0.4; charset=utf-8")
+        private const val THREADS = 2
+        private const val DEFAULT_BACKLOG = 0
+        private const val TEXT_CONTENT_TYPE = "text/plain; charset=utf-8"
+        private const val METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
     }
 }
--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/Daemon.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/Daemon.kt
@@ -17,9 +17,10 @@
     private val config: LaunchConfig,
 ) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val metrics = processMetrics()
-    private val tracerProvider = createTracerProvider(config.common, config.role, config.id)
-    private val node = config.factory.create(systemClock(), metrics, tracerProvider.get(TRACER_NAME), scope)
+    private val metrics = ProcessMetrics()
+    private val tracerProvider = lazy { createTracerProvider(config.common, config.role, config.id) }
+    private val tracer = lazy { tracerProvider.value.get(TRACER_NAME) }
+    private val node = config.factory.create(systemClock(), metrics.registry, tracer, scope)
     private val admin = AdminServer(config.common.admin, metrics, node)
 
     /** Starts the node and the admin server, and logs their ports. */
@@ -47,10 +48,14 @@
         node.stopGracefully()
         admin.stop()
         scope.cancel()
-        tracerProvider.shutdown().join(TRACE_FLUSH_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+        if (tracerProvider.isInitialized()) flushTraces()
         logger.event("stopped", "role" to config.role, "id" to config.id)
     }
 
+    private fun flushTraces() {
+        tracerProvider.value.shutdown().join(TRACE_FLUSH_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+    }
+
     private companion object {
         private const val TRACER_NAME = "org.chestnutloom"
         private const val TRACE_FLUSH_TIMEOUT_SECONDS = 2L
--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/DaemonProcess.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/DaemonProcess.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.runBlocking
 import org.chestnutloom.common.flag.UsageError
 import org.chestnutloom.common.log.warnEvent
+import org.chestnutloom.daemon.log.DaemonLogConfigurator
 import org.slf4j.LoggerFactory
 import sun.misc.Signal
 import kotlin.system.exitProcess
@@ -24,7 +25,7 @@
     parser: LaunchParser,
     args: List<String>,
 ): Nothing {
-    System.setProperty("logback.configurationFile", "logback-daemon.xml")
+    DaemonLogConfigurator.select()
     // Otherwise the HTTP server aborts open streams on SIGTERM before the node has completed them.
     System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     val config = parser.parse(args, System.getenv()).fold({ exitWithUsageErrors(it) }, { it })
@@ -74,5 +75,5 @@
     (LoggerFactory.getILoggerFactory() as? LoggerContext)?.stop()
 }
 
-/** Returns the logger, which must not be created before the Logback configuration file is set. */
+/** Returns the logger, which must not be created before the configuration of the logs is selected. */
 private fun daemonLogger() = KotlinLogging.logger("org.chestnutloom.daemon")
--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/Main.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/Main.kt
@@ -16,7 +16,7 @@
                     tracer,
                     scope,
                     ->
-                    gateway(settings, clock, metrics, tracer, scope)
+                    gateway(settings, clock, metrics, tracer.value, scope)
                 }
             },
             { settings ->
@@ -26,7 +26,7 @@
                     tracer,
                     scope,
                     ->
-                    sidecar(settings, clock, metrics, tracer, scope)
+                    sidecar(settings, clock, metrics, tracer.value, scope)
                 }
             },
             { settings ->
--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/ProcessMetrics.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/ProcessMetrics.kt
@@ -8,10 +8,22 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 
-/** Returns a registry with metrics of the process: memory, threads, CPU, file descriptors and uptime. */
-internal fun processMetrics(): PrometheusMeterRegistry {
-    val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
-    val binders =
+/**
+ * The metrics of one process: those that the node registers in [registry], and memory, threads, CPU, file descriptors
+ * and uptime. The latter are added by the first [scrape], since they load the JVM's management classes.
+ */
+internal class ProcessMetrics {
+    val registry: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+
+    private val bound by lazy { binders().forEach { it.bindTo(registry) } }
+
+    /** Returns all metrics in the text format of Prometheus. */
+    fun scrape(): String {
+        bound
+        return registry.scrape()
+    }
+
+    private fun binders() =
         listOf(
             JvmMemoryMetrics(),
             JvmThreadMetrics(),
@@ -19,6 +31,4 @@
             FileDescriptorMetrics(),
             UptimeMetrics(),
         )
-    binders.forEach { it.bindTo(registry) }
-    return registry
 }
--- a/chestnutloom-daemon/src/test/kotlin/org/chestnutloom/daemon/AdminServerSpec.kt
+++ b/chestnutloom-daemon/src/test/kotlin/org/chestnutloom/daemon/AdminServerSpec.kt
@@ -24,7 +24,7 @@
     DescribeSpec({
         describe("the admin server") {
             val node = FakeNode()
-            val metrics = processMetrics()
+            val metrics = ProcessMetrics()
             val server = AdminServer(PeerAddress("127.0.0.1", 0), metrics, node)
             val port = server.start()
             afterSpec { server.stop() }
@@ -44,7 +44,7 @@
             }
 
             it("serves the metrics of the process and the node") {
-                metrics.counter("chestnutloom.test").increment()
+                metrics.registry.counter("chestnutloom.test").increment()
                 val text = get("/metrics").body()
                 text shouldContain "chestnutloom_test_total 1.0"
                 text shouldContain "jvm_memory_used_bytes"
