Send the last replies of a sidecar before its links close

Cause: the drain ends when the last call is confirmed, which is before the reply to that confirmation has left; then the links close at once and drop what is queued. Fix: LinkServer.drain waits until the replies to all requests that end by themselves are written, and ends the sending side in order; the sidecar drains its links before it stops them.

--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarNode.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/SidecarNode.kt
@@ -15,6 +15,7 @@
 import org.chestnutloom.wire.link.LinkOptions
 import org.chestnutloom.wire.link.PeerIdentity
 import org.chestnutloom.wire.link.linkServer
+import kotlin.time.Duration.Companion.seconds
 
 /** Serves a [SidecarCore] on a link server. */
 internal class SidecarNode(
@@ -51,6 +52,7 @@
             logger.event("sidecar_draining", "target" to settings.target)
             val drained = core.drain(settings.stopTimeout)
             logger.event("sidecar_drained", "target" to settings.target, "in_time" to drained)
+            links.drain(REPLY_TIMEOUT)
         }
         links.stop()
         target.close()
@@ -58,6 +60,9 @@
     }
 
     companion object {
+        /** The drain ends when the last call is confirmed, before the reply to that confirmation has been sent. */
+        private val REPLY_TIMEOUT = 1.seconds
+
         /** Returns a child scope of [outer] whose failures do not propagate to it. */
         fun childScope(outer: CoroutineScope): CoroutineScope =
             CoroutineScope(outer.coroutineContext + SupervisorJob(outer.coroutineContext.job))
--- a/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/Connection.kt
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/Connection.kt
@@ -14,6 +14,7 @@
 import kotlinx.io.IOException
 import org.chestnutloom.mechanism.Mechanism
 import org.chestnutloom.time.Clock
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 
 private val logger = KotlinLogging.logger {}
@@ -28,6 +29,7 @@
     private val clock: Clock,
 ) {
     private val sendQueue = Channel<ByteArray>(SEND_QUEUE_FRAMES)
+    private val unflushedFrames = AtomicInteger()
     private val failure = CompletableDeferred<LinkFailure>()
     private val tracker = HeartbeatTracker(clock, handshake.helloSentAt)
 
@@ -37,6 +39,10 @@
     val isOpen: Boolean
         get() = !failure.isCompleted
 
+    /** Whether every queued frame has been written to the socket. */
+    val isFlushed: Boolean
+        get() = unflushedFrames.get() == 0
+
     /** Queues [frame], suspending while the queue is full; throws [LinkException] once the connection has ended. */
     suspend fun send(frame: Frame): Int {
         val bytes = FrameCodec.encode(frame)
@@ -50,9 +56,15 @@
 
     /** Queues an encoded frame. */
     suspend fun sendEncoded(bytes: ByteArray) {
+        unflushedFrames.incrementAndGet()
         sendQueue.send(bytes)
     }
 
+    /** Ends sending after everything that was queued has been handed to the operating system. */
+    suspend fun finishWriting() {
+        socket.finishWriting()
+    }
+
     /** Closes the connection with the reason [detail]. */
     fun close(detail: String) {
         failure.complete(lost(detail))
@@ -112,12 +124,15 @@
     private suspend fun writeFrames() {
         for (first in sendQueue) {
             socket.write(first)
+            var written = 1
             var next = sendQueue.tryReceive()
             while (next.isSuccess) {
                 socket.write(next.getOrThrow())
+                written++
                 next = sendQueue.tryReceive()
             }
             socket.flush()
+            unflushedFrames.addAndGet(-written)
         }
     }
 
--- a/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/FrameSocket.kt
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/FrameSocket.kt
@@ -6,7 +6,7 @@
 import arrow.core.right
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.cancel
 import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.readInt
@@ -24,7 +24,8 @@
     private val clock: Clock,
 ) {
     private val input = socket.openReadChannel()
-    private val output = socket.openWriteChannel()
+    private val output = ByteChannel()
+    private val writer = socket.attachForWriting(output)
 
     /** When bytes last arrived, as elapsed time of the clock. */
     @Volatile
@@ -52,6 +53,12 @@
         output.flush()
     }
 
+    /** Ends sending after everything that was written has been handed to the operating system. */
+    suspend fun finishWriting() {
+        output.flushAndClose()
+        writer.job.join()
+    }
+
     /** Closes the connection immediately, and interrupts pending reads and writes. */
     fun close() {
         input.cancel()
--- a/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/ServerConnection.kt
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/ServerConnection.kt
@@ -26,6 +26,15 @@
     private val streams = ConcurrentHashMap<Long, ServerStream>()
     private var lastStreamId = -1L
 
+    /** Whether a request that ends by itself still has replies to be sent. */
+    val hasPendingReplies: Boolean
+        get() = streams.values.any { !it.isEndless } || (connection.isOpen && !connection.isFlushed)
+
+    /** Ends sending after everything that was queued has been handed to the operating system. */
+    suspend fun finishWriting() {
+        connection.finishWriting()
+    }
+
     suspend fun run() {
         connection.run(this)
     }
@@ -54,7 +63,7 @@
         lastStreamId = frame.stream
         val window = CreditWindow(options.windowBytes)
         val job = scope.launch(start = CoroutineStart.LAZY) { runHandler(frame.stream, frame.request, window) }
-        streams[frame.stream] = ServerStream(job, window)
+        streams[frame.stream] = ServerStream(job, window, frame.request.isEndless)
         job.invokeOnCompletion { streams.remove(frame.stream) }
         job.start()
         return Unit.right()
@@ -112,6 +121,7 @@
     private class ServerStream(
         val job: Job,
         val window: CreditWindow,
+        val isEndless: Boolean,
     )
 
     private companion object {
--- a/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/TcpLinkServer.kt
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/TcpLinkServer.kt
@@ -16,6 +16,8 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.chestnutloom.time.Clock
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
@@ -47,6 +49,7 @@
 ) : LinkServer {
     private val job: Job = SupervisorJob(parentScope.coroutineContext.job)
     private val scope = CoroutineScope(parentScope.coroutineContext + job)
+    private val open = ConcurrentHashMap.newKeySet<ServerConnection>()
     private var serverSocket: ServerSocket? = null
 
     override suspend fun start(): Int {
@@ -56,6 +59,13 @@
         return socket.port
     }
 
+    override suspend fun drain(timeout: Duration) {
+        withTimeoutOrNull(timeout) {
+            while (open.any { it.hasPendingReplies }) delay(DRAIN_POLL_INTERVAL)
+            open.forEach { it.finishWriting() }
+        }
+    }
+
     override suspend fun stop() {
         serverSocket?.close()
         job.cancelAndJoin()
@@ -95,10 +105,19 @@
         remote: PeerAddress,
     ) {
         val connection = Connection(frames, handshake, remote, options, heartbeats, clock)
-        supervisorScope { ServerConnection(connection, handler, options, this).run() }
+        supervisorScope { run(ServerConnection(connection, handler, options, this)) }
         logIfMalformed(connection.failureOrNull(), remote)
     }
 
+    private suspend fun run(connection: ServerConnection) {
+        open += connection
+        try {
+            connection.run()
+        } finally {
+            open -= connection
+        }
+    }
+
     private fun logIfMalformed(
         failure: LinkFailure?,
         remote: PeerAddress,
@@ -115,5 +134,6 @@
 
     private companion object {
         private val ACCEPT_RETRY_DELAY = 100.milliseconds
+        private val DRAIN_POLL_INTERVAL = 5.milliseconds
     }
 }
--- a/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/WatchLoad.kt
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/WatchLoad.kt
@@ -6,4 +6,7 @@
 /** Subscribes to a [LoadReport] now and after each change, at most one per reporting interval. */
 @Serializable
 @SerialName("watch-load")
-public data object WatchLoad : LinkRequest
+public data object WatchLoad : LinkRequest {
+    override val isEndless: Boolean
+        get() = true
+}
