Remove a stopped gateway's row also when the gateway has not read it yet

Cause: the row was removed under the version that the gateway had read; without one it was not removed at all.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -172,7 +172,7 @@
         logger.event("ingress_closed", "busy" to ingress.isBusy)
         ingress.stopListening()
         withTimeoutOrNull(TRIM_TIMEOUT) { budgets.trimAll() }
-        withTimeoutOrNull(UNREGISTER_TIMEOUT) { fleet.ownRowVersion?.let { memberRegistry.unregister(it) } }
+        withTimeoutOrNull(UNREGISTER_TIMEOUT) { memberRegistry.unregister(fleet.ownRowVersion) }
         links.stop()
         socket.stop()
     }
