Send no more requests to a target whose response says that it shuts down

What callers would see: a target that leaves says so in all its responses (Server-Leaving: 1), possibly before the gateway has read its row, or while the feed is stale; requests sent to it later are cut when it exits. Cause: the header is new on the wire and was passed on without being read. Fix: the response of a request's own target, matched by its id, marks that run of the target; a new run of the same id is another target and is not marked. Event target_leaving. Evidence: the new case of TargetResponseSpec fails on (the next response comes from the leaving target) and passes here. Not covered: the mark is each gateway's own; others learn of it from their own responses or the row.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseHead.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseHead.kt
@@ -9,6 +9,7 @@
  * @property isNotRun whether the target states that it did not run the request and never will
  * @property isSigned whether the response carries the target's signature header
  * @property impliesNotRun whether the caller would take the status alone to mean that the request did not run
+ * @property isTargetLeaving whether the target states that it shuts down and takes no new requests
  */
 public class ResponseHead(
     public val status: Int,
@@ -16,6 +17,7 @@
     public val isNotRun: Boolean,
     public val isSigned: Boolean,
     public val impliesNotRun: Boolean,
+    public val isTargetLeaving: Boolean,
 ) {
     /** Whether the status is 2xx. */
     public val isSuccess: Boolean
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.common.log.event
 import org.chestnutloom.common.log.warnEvent
 import org.chestnutloom.edge.config.RouteKind
 import org.chestnutloom.edge.http.HttpConnection
@@ -115,12 +116,22 @@
             withTimeoutOrNull(call.deadline - clock.elapsed()) { parts.receive() }
                 ?: return timedOutResponse()
         return when (first) {
-            is ResponsePart.Head -> relayResponse(call, target, connection, codec.responseHead(first.response), parts)
+            is ResponsePart.Head -> {
+                val head = codec.responseHead(first.response)
+                if (head.isTargetLeaving) markLeaving(target)
+                relayResponse(call, target, connection, head, parts)
+            }
             is ResponsePart.Aborted -> lostResponse(first.cause)
             else -> lostResponse("response part received before the response head")
         }
     }
 
+    private fun markLeaving(target: Target) {
+        if (target.isLeaving) return
+        target.isLeaving = true
+        logger.event("target_leaving", "target" to target.entry.id, "in_flight" to target.inFlight)
+    }
+
     private suspend fun relayResponse(
         call: RoutedCall,
         target: Target,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/Target.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/Target.kt
@@ -18,6 +18,10 @@
     public var isRemoved: Boolean = false
         internal set
 
+    /** Whether a response of the target said that it shuts down. A new run of the target is another [Target]. */
+    public var isLeaving: Boolean = false
+        internal set
+
     /** The number of requests that this gateway has in flight at the target. */
     public var inFlight: Int = 0
         internal set
@@ -32,5 +36,5 @@
 
     /** Whether new requests may be sent to the target. */
     public val acceptsRequests: Boolean
-        get() = !isRemoved && entry.stage == TargetStage.READY
+        get() = !isRemoved && !isLeaving && entry.stage == TargetStage.READY
 }
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TargetResponseSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TargetResponseSpec.kt
@@ -64,6 +64,23 @@
                 caller.send("POST", "/pay/reset").status shouldBe 502
             }
 
+            // Guards against requests to a target that shuts down while the gateway has not read its row yet.
+            it("that says that the target leaves is relayed, and later requests go to other targets") {
+                val leaving =
+                    fleet.target("i-1") {
+                        ScriptedResponse(
+                            listOf(responseHead(it) + "Server-Leaving: 1\r\nContent-Length: 3\r\n\r\nbye"),
+                        )
+                    }
+                val caller = fleet.caller()
+                caller.send("POST", "/pay/1").body shouldBe "bye"
+                val staying = fleet.target("i-2") { signedResponse(it, "here") }
+                eventually { caller.send("POST", "/pay/2").body == "here" }
+                repeat(5) { caller.send("POST", "/pay/${3 + it}").body shouldBe "here" }
+                leaving.received.size shouldBe 1
+                staying.received.size shouldBe 6
+            }
+
             it("that is not HTTP is not relayed to the caller") {
                 fleet.target("i-1") { ScriptedResponse(listOf("what is this\r\n\r\n")) }
                 val response = fleet.caller().send("POST", "/pay/1")
