Take and return a token of an account once, however often the datagram arrives

What could happen: the return of a token (QuotaRefund) was credited each time it arrived and from whomever, so that a duplicated datagram, or one of a process that was granted nothing, raised an account's limit; a QuotaRequest that arrived twice took two tokens, and the caller's account was refused inside its rate. A gateway of an earlier build does not understand the new refund: its token is lost to the account for that moment.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -185,7 +185,7 @@
             is FleetHeartbeat -> fleet.receive(message)
             is QuotaRequest -> quotaServer.receive(message, sender)
             is QuotaReply -> quotaClient.receive(message, sender)
-            is QuotaRefund -> quotaServer.receive(message)
+            is QuotaRefund -> quotaServer.receive(message, sender)
         }
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/QuotaClient.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/QuotaClient.kt
@@ -133,7 +133,7 @@
 
     private fun refund(received: ReceivedReply) {
         if (received.reply.outcome != QuotaOutcome.GRANTED) return
-        transport.send(QuotaRefund(received.reply.account), listOf(received.sender))
+        transport.send(QuotaRefund(received.reply.id, received.reply.account), listOf(received.sender))
     }
 
     private fun noReplica(): Refusal =
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/QuotaServer.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/quota/QuotaServer.kt
@@ -24,11 +24,17 @@
     private val transport: FleetTransport,
     private val scope: CoroutineScope,
 ) {
-    /** Decides about [request] and replies to [sender]. */
+    private val recent = RecentQuotaRequests()
+
+    /** Decides about [request] and replies to [sender]; a duplicate gets the same decision. */
     fun receive(
         request: QuotaRequest,
         sender: PeerAddress,
     ) {
+        if (!recent.add(sender, request.id)) {
+            recent.replyTo(sender, request.id)?.let { reply(it, sender) }
+            return
+        }
         scope.launch {
             val account = configurations.current?.accountsById?.get(request.account)
             if (account == null || !quotas.holds(account.id)) {
@@ -39,9 +45,12 @@
         }
     }
 
-    /** Returns the token of a request that was admitted here. */
-    fun receive(refund: QuotaRefund) {
-        quotas.refund(refund.account)
+    /** Returns the token of a request of [sender] that was admitted here, once. */
+    fun receive(
+        refund: QuotaRefund,
+        sender: PeerAddress,
+    ) {
+        if (recent.takeRefund(sender, refund.id)) quotas.refund(refund.account)
     }
 
     private suspend fun decide(
@@ -56,6 +65,7 @@
                 { QuotaReply(request.id, account.id, outcomeOf(it), it.retryAfterMs ?: 0) },
                 { QuotaReply(request.id, account.id, QuotaOutcome.GRANTED) },
             )
+        recent.decided(sender, reply)
         reply(reply, sender)
     }
 
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/SimulatedFleet.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/SimulatedFleet.kt
@@ -128,7 +128,7 @@
                 is FleetHeartbeat -> receive(message)
                 is QuotaRequest -> quotaServer.receive(message, sender)
                 is QuotaReply -> quotaClient.receive(message, sender)
-                is QuotaRefund -> quotaServer.receive(message)
+                is QuotaRefund -> quotaServer.receive(message, sender)
                 null -> error("a datagram from $from is malformed")
             }
         }
