Keep the platform's names of the benchmark's load in the stand-ins

A reader found header names and rows of the users' platform in the integration tests' main sources, where only the stand-ins and platform/ hold them. The scripted responses, the rows of operators and targets, and the load of the benchmark move to chestnutloom-fakes; nothing else changes.

--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/edge/EdgeEnvironment.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/EdgeEnvironment.kt
@@ -1,13 +1,11 @@
-package org.chestnutloom.integration.edge
-
-import org.chestnutloom.fakes.edge.RowStoreStandIn
+package org.chestnutloom.fakes.edge
 
 /** The rows that operators and targets write to [store]: a configuration with three routes, and targets. */
-class EdgeEnvironment(
+public class EdgeEnvironment(
     private val store: RowStoreStandIn,
 ) {
     /** Writes the row of target [id]. */
-    fun putTarget(
+    public fun putTarget(
         id: String,
         service: String,
         port: Int,
@@ -22,7 +20,7 @@
     }
 
     /** Writes a configuration. */
-    fun configure(
+    public fun configure(
         version: Long,
         ratePerSecond: Int = 0,
         burst: Int = 0,
@@ -45,7 +43,7 @@
     }
 
     /** Returns a route as JSON whose path prefix is [name], with [extraFields] appended to its fields. */
-    fun route(
+    public fun route(
         name: String,
         kind: String,
         service: String,
@@ -55,11 +53,11 @@
         """{"name":"$name","host":"a.example","prefix":"/$name/","routeKind":"$kind","timeoutMs":2000,""" +
             """"targetLatencyMs":200,"priority":0,"service":"$service","maxAttempts":$maxAttempts,$extraFields}"""
 
-    companion object {
+    public companion object {
         /** The service of the routes `plain`, idempotent, and `pay`, not idempotent. */
-        const val PLAIN = "shop"
+        public const val PLAIN: String = "shop"
 
         /** The service of the route `chat`, whose turns are kept. */
-        const val LLM = "engines"
+        public const val LLM: String = "engines"
     }
 }
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/benchmark/EdgeLoad.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ProgramLoad.kt
@@ -1,18 +1,13 @@
-package org.chestnutloom.integration.benchmark
+package org.chestnutloom.fakes.edge
 
 import kotlinx.coroutines.future.await
-import org.chestnutloom.fakes.edge.RowStoreStandIn
-import org.chestnutloom.fakes.edge.ScriptedTarget
-import org.chestnutloom.integration.edge.EdgeEnvironment
-import org.chestnutloom.integration.edge.signedResponse
-import org.chestnutloom.integration.edge.streamResponse
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 
-/** Sends calls of each kind to edge gateways, with a target for each service behind them. */
-internal class EdgeLoad(
+/** Runs programs on edge gateways, with a target for each service behind them. */
+public class ProgramLoad(
     store: RowStoreStandIn,
 ) {
     private val environment = EdgeEnvironment(store)
@@ -22,7 +17,7 @@
     private var calls = 0
 
     /** Starts the targets and writes the configuration and their rows. */
-    suspend fun start() {
+    public suspend fun start() {
         tools.start()
         engine.start()
         environment.configure(version = 1, ratePerSecond = RATE_PER_SECOND, burst = RATE_PER_SECOND)
@@ -31,25 +26,25 @@
     }
 
     /** Stops the targets. */
-    suspend fun stop() {
+    public suspend fun stop() {
         tools.stop()
         engine.stop()
     }
 
-    /** Runs a program of two turns and two tool calls, spread over [gateways], and returns the statuses. */
-    suspend fun program(gateways: List<EdgeProcess>): List<Int> {
+    /** Runs a program of two turns and two tool calls, spread over the gateways at [urls], and returns the statuses. */
+    public suspend fun program(urls: List<String>): List<Int> {
         val program = "p${++calls}"
         val first = "$program-1"
         return listOf(
-            turn(gateways.first(), program, first, previous = null),
-            send(gateways.first(), "/plain/read", "$program-2", emptyMap()),
-            send(gateways.last(), "/pay/book", "$program-3", emptyMap()),
-            turn(gateways.last(), program, "$program-4", previous = first),
+            turn(urls.first(), program, first, previous = null),
+            send(urls.first(), "/plain/read", "$program-2", emptyMap()),
+            send(urls.last(), "/pay/book", "$program-3", emptyMap()),
+            turn(urls.last(), program, "$program-4", previous = first),
         )
     }
 
     private suspend fun turn(
-        gateway: EdgeProcess,
+        gatewayUrl: String,
         program: String,
         id: String,
         previous: String?,
@@ -61,7 +56,7 @@
                 "Chestnutloom-Token-Usage" to "10,100",
             )
         return send(
-            gateway,
+            gatewayUrl,
             "/chat/turn",
             id,
             headers + previous?.let { mapOf("Chestnutloom-Previous-Turn" to it) }.orEmpty(),
@@ -69,14 +64,14 @@
     }
 
     private suspend fun send(
-        gateway: EdgeProcess,
+        gatewayUrl: String,
         path: String,
         id: String,
         headers: Map<String, String>,
     ): Int {
         val request =
             HttpRequest
-                .newBuilder(URI("${gateway.callerUrl}$path"))
+                .newBuilder(URI("$gatewayUrl$path"))
                 .POST(HttpRequest.BodyPublishers.ofString("input of $id"))
                 .header("Host", "a.example")
                 .header("Authorization", "Token key-a")
@@ -86,14 +81,14 @@
         return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString()).await().statusCode()
     }
 
-    companion object {
+    private companion object {
         init {
             // The host selects the route, so that it has to be that of the configuration.
             System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host")
         }
 
-        private const val EVENTS = 12
-        private const val RATE_PER_SECOND = 100_000
-        private const val CALLER_TIMEOUT_MS = 4_000
+        const val EVENTS = 12
+        const val RATE_PER_SECOND = 100_000
+        const val CALLER_TIMEOUT_MS = 4_000
     }
 }
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/edge/ScriptedResponses.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedResponses.kt
@@ -1,11 +1,7 @@
-package org.chestnutloom.integration.edge
-
-import org.chestnutloom.fakes.edge.ConnectionAction
-import org.chestnutloom.fakes.edge.ReceivedRequest
-import org.chestnutloom.fakes.edge.ScriptedResponse
+package org.chestnutloom.fakes.edge
 
 /** Returns a valid signed response to [request]. */
-fun signedResponse(
+public fun signedResponse(
     request: ReceivedRequest,
     body: String,
     status: String = "200 OK",
@@ -17,7 +13,7 @@
     )
 
 /** Returns the status line and first headers of a response to [request], without the empty line that ends them. */
-fun responseHead(
+public fun responseHead(
     request: ReceivedRequest,
     status: String = "200 OK",
 ): String =
@@ -25,7 +21,7 @@
         "Chestnutloom-Server-Signature: sig\r\n"
 
 /** Returns a response to [request] that streams [events]; without its last chunk unless [isComplete]. */
-fun streamResponse(
+public fun streamResponse(
     request: ReceivedRequest,
     events: List<String>,
     isComplete: Boolean = true,
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/benchmark/EdgeClassRecorder.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/benchmark/EdgeClassRecorder.kt
@@ -1,6 +1,7 @@
 package org.chestnutloom.integration.benchmark
 
 import kotlinx.coroutines.delay
+import org.chestnutloom.fakes.edge.ProgramLoad
 import org.chestnutloom.fakes.edge.RowStoreStandIn
 import org.chestnutloom.fakes.edge.StoreFault
 import java.nio.file.Files
@@ -15,7 +16,7 @@
     suspend fun run() {
         val store = RowStoreStandIn()
         store.start()
-        val load = EdgeLoad(store)
+        val load = ProgramLoad(store)
         load.start()
         val recorded = Files.createTempFile("edge-classes", ".lst")
         val gateways =
@@ -23,16 +24,17 @@
                 EdgeProcess(0, store, listOf("-Xshare:off", "-XX:DumpLoadedClassList=$recorded")),
                 EdgeProcess(1, store),
             )
+        val urls = gateways.map { it.callerUrl }
         try {
             gateways.forEach { gateway -> until { gateway.isReady } }
             delay(SETTLE)
-            val before = List(PROGRAMS) { load.program(gateways) }.flatten()
+            val before = List(PROGRAMS) { load.program(urls) }.flatten()
             store.fault = StoreFault.REFUSE
-            val during = List(PROGRAMS) { load.program(gateways) }.flatten()
+            val during = List(PROGRAMS) { load.program(urls) }.flatten()
             delay(SETTLE)
             store.fault = StoreFault.NONE
             delay(SETTLE)
-            val after = List(PROGRAMS) { load.program(gateways) }.flatten()
+            val after = List(PROGRAMS) { load.program(urls) }.flatten()
             gateways.forEach { it.stop() }
             println("statuses before, during and after an outage: ${before.toSet()} ${during.toSet()} ${after.toSet()}")
             Files.writeString(output, Files.readString(recorded))
--- a/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/benchmark/EdgeCostBenchmark.kt
+++ b/chestnutloom-integration-tests/src/main/kotlin/org/chestnutloom/integration/benchmark/EdgeCostBenchmark.kt
@@ -1,6 +1,7 @@
 package org.chestnutloom.integration.benchmark
 
 import kotlinx.coroutines.delay
+import org.chestnutloom.fakes.edge.ProgramLoad
 import org.chestnutloom.fakes.edge.RowStoreStandIn
 import kotlin.time.Duration.Companion.seconds
 
@@ -12,7 +13,7 @@
     suspend fun run() {
         val store = RowStoreStandIn()
         store.start()
-        val load = EdgeLoad(store)
+        val load = ProgramLoad(store)
         load.start()
         try {
             if (fleetSizes.isEmpty()) repeat(STARTS) { measureStart(store, load) }
@@ -25,7 +26,7 @@
 
     private suspend fun measureStart(
         store: RowStoreStandIn,
-        load: EdgeLoad,
+        load: ProgramLoad,
     ) {
         EdgeProcess(0, store).use { gateway ->
             until { gateway.isListening }
@@ -56,11 +57,11 @@
 
     private suspend fun cpuMsPerCall(
         gateway: EdgeProcess,
-        load: EdgeLoad,
+        load: ProgramLoad,
         programs: Int,
     ): Double {
         val before = ProcessUsage.of(gateway.pid).cpuSeconds
-        val calls = (1..programs).flatMap { load.program(listOf(gateway)) }
+        val calls = (1..programs).flatMap { load.program(listOf(gateway.callerUrl)) }
         check(calls.all { it == STATUS_OK }) { "expected status 200 for each call, found ${calls.toSet()}" }
         return (ProcessUsage.of(gateway.pid).cpuSeconds - before) * MS_PER_SECOND / calls.size
     }
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
@@ -8,6 +8,7 @@
 import org.chestnutloom.edge.EdgeSettings
 import org.chestnutloom.edge.edgeNode
 import org.chestnutloom.edge.fleet.Member
+import org.chestnutloom.fakes.edge.EdgeEnvironment
 import org.chestnutloom.fakes.edge.ReceivedRequest
 import org.chestnutloom.fakes.edge.RowStoreStandIn
 import org.chestnutloom.fakes.edge.ScriptedResponse
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EndlessResponseSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EndlessResponseSpec.kt
@@ -8,6 +8,9 @@
 import io.kotest.matchers.shouldNotBe
 import org.chestnutloom.fakes.edge.ReceivedRequest
 import org.chestnutloom.fakes.edge.ScriptedResponse
+import org.chestnutloom.fakes.edge.responseHead
+import org.chestnutloom.fakes.edge.signedResponse
+import org.chestnutloom.fakes.edge.streamResponse
 
 /** What a gateway may read of an endless response, including the buffers of both sockets. */
 private const val MAX_READ_BYTES = 32L * 1024 * 1024
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RoutedRequestSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RoutedRequestSpec.kt
@@ -15,6 +15,8 @@
 import org.chestnutloom.fakes.edge.ReceivedRequest
 import org.chestnutloom.fakes.edge.ScriptedResponse
 import org.chestnutloom.fakes.edge.ScriptedTarget
+import org.chestnutloom.fakes.edge.responseHead
+import org.chestnutloom.fakes.edge.signedResponse
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TargetResponseSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TargetResponseSpec.kt
@@ -6,6 +6,8 @@
 import kotlinx.coroutines.delay
 import org.chestnutloom.fakes.edge.ConnectionAction
 import org.chestnutloom.fakes.edge.ScriptedResponse
+import org.chestnutloom.fakes.edge.responseHead
+import org.chestnutloom.fakes.edge.signedResponse
 import kotlin.time.Duration.Companion.milliseconds
 
 class TargetResponseSpec :
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TurnSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TurnSpec.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.withTimeout
 import org.chestnutloom.fakes.edge.ScriptedResponse
 import org.chestnutloom.fakes.edge.StoreFault
+import org.chestnutloom.fakes.edge.streamResponse
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
