Drain the other links of a server when one of them breaks

Found on the last read: while a link server drains, a connection that is lost makes the end of its writing throw, so that a sidecar's graceful stop would end there, before its links and target are closed; and one peer that does not read would use up the time of all others. A send that is cancelled while the queue is full left its frame counted as unsent, so that a drain would wait for its whole timeout. Fix: connections are finished side by side, a lost one is noted and skipped, and a cancelled send is counted out. Evidence: by reading; no test forces these. LinkDrainSpec, LinkSpec, ProtocolViolationSpec and SidecarNodeSpec pass.

--- a/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/Connection.kt
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/Connection.kt
@@ -41,7 +41,7 @@
 
     /** Whether every queued frame has been written to the socket. */
     val isFlushed: Boolean
-        get() = unflushedFrames.get() == 0
+        get() = unflushedFrames.get() <= 0
 
     /** Queues [frame], suspending while the queue is full; throws [LinkException] once the connection has ended. */
     suspend fun send(frame: Frame): Int {
@@ -57,7 +57,12 @@
     /** Queues an encoded frame. */
     suspend fun sendEncoded(bytes: ByteArray) {
         unflushedFrames.incrementAndGet()
-        sendQueue.send(bytes)
+        try {
+            sendQueue.send(bytes)
+        } catch (e: CancellationException) {
+            unflushedFrames.decrementAndGet()
+            throw e
+        }
     }
 
     /** Ends sending after everything that was queued has been handed to the operating system. */
--- a/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/TcpLinkServer.kt
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/link/TcpLinkServer.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
@@ -62,7 +63,16 @@
     override suspend fun drain(timeout: Duration) {
         withTimeoutOrNull(timeout) {
             while (open.any { it.hasPendingReplies }) delay(DRAIN_POLL_INTERVAL)
-            open.forEach { it.finishWriting() }
+            coroutineScope { open.forEach { launch { finishWriting(it) } } }
+        }
+    }
+
+    /** A connection that is lost meanwhile has nothing left to send. */
+    private suspend fun finishWriting(connection: ServerConnection) {
+        try {
+            connection.finishWriting()
+        } catch (e: IOException) {
+            logger.debug { "event=link_ended cause=${e.javaClass.simpleName}" }
         }
     }
 
