--- a/review/harness/Case.java
+++ b/review/harness/Case.java
@@ -48,12 +48,17 @@
         Runtime.getRuntime().halt(code);
     }
 
+    /** Returns the address at which the gateways reach the store. */
+    String storeAddress() {
+        return store.address();
+    }
+
     /** Starts gateways, one in each zone in turn, and waits until all are ready. */
     final void startGateways(int count) throws Exception {
         int first = 10 + (int) (ProcessHandle.current().pid() % 200);
         for (int i = 0; i < count; i++) {
             String host = "127." + first + ".1." + (11 + i);
-            gateways.add(new Gateway(recorder, temporary, "edge-" + (i + 1), ZONES[i % ZONES.length], host, store));
+            gateways.add(new Gateway(recorder, temporary, "edge-" + (i + 1), ZONES[i % ZONES.length], host, storeAddress()));
         }
         for (Gateway gateway : gateways) gateway.start();
         awaitReady();
@@ -81,7 +86,8 @@
         configVersion += 3;
         store.put("op", "config", "{\"version\":" + configVersion + ",\"routes\":[" + String.join(",", routes) + "],"
             + "\"services\":[{\"name\":\"llm\",\"healthPath\":\"/health\",\"maxConnections\":150,\"engine\":{\"slots\":12,"
-            + "\"kvCapacityTokens\":380318,\"tokensPerEvent\":22}},{\"name\":\"app\",\"healthPath\":\"/health\","
+            + "\"kvCapacityTokens\":380318,\"tokensPerEvent\":22}},{\"name\":\"app\",\"healthPath\":\"/health\",\"maxConnections\":96},"
+            + "{\"name\":\"app2\",\"healthPath\":\"/health\","
             + "\"maxConnections\":96}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
             + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"" + TENANT
             + "\",\"apiKeys\":[\"" + KEY + "\"],\"priority\":1,\"ratePerS\":" + ratePerSecond + ",\"burst\":" + burst + "}]}");
--- a/review/harness/Gateway.java
+++ b/review/harness/Gateway.java
@@ -27,7 +27,7 @@
     private Process process;
     private int starts;
 
-    Gateway(Recorder recorder, Path folder, String name, String zone, String host, Store store) throws IOException {
+    Gateway(Recorder recorder, Path folder, String name, String zone, String host, String store) throws IOException {
         this.recorder = recorder;
         this.folder = folder;
         this.name = name;
@@ -41,14 +41,14 @@
         fields.put("internalPortRange.0", "" + freePort(host));
         fields.put("listenAddresses.frontend", callers);
         fields.put("listenAddresses.readiness", health);
-        fields.put("platform.address", store.address());
+        fields.put("platform.address", store);
         fields.put("platform.rowBytes", "" + Store.ROW_BYTES);
         fields.put("bounds.graceS", "8");
         command = command(fields);
         settings = folder.resolve(name + ".toml");
         Files.writeString(settings, "nodeName = \"" + name + "\"\nrole = \"edge\"\nip = \"" + host + "\"\nzone = \"" + zone
             + "\"\n[listenAddresses]\nfrontend = \"" + callers + "\"\nreadiness = \"" + health + "\"\n[platform]\naddress = \""
-            + store.address() + "\"\nrowBytes = " + Store.ROW_BYTES + "\n[bounds]\ngraceS = 8\n");
+            + store + "\"\nrowBytes = " + Store.ROW_BYTES + "\n[bounds]\ngraceS = 8\n");
     }
 
     /** Reads the command of the role edge from the deploy file and fills in the fields. */
--- a/review/harness/Runner.java
+++ b/review/harness/Runner.java
@@ -72,6 +72,10 @@
         });
     }
 
+    String service() {
+        return service;
+    }
+
     private void heartbeats(String lifetime) {
         while (true) {
             sleep(HEARTBEAT_MS);
