Show that an incomplete extra response makes a payment run twice

The beginning of a response that a faulty runner sends after a complete one stays in the decoder of the pooled connection, and the next response continues it. With the head of a refusal as the extra bytes, the gateway sends a request that has run to a second runner.

--- a/review/harness/Runner.java
+++ b/review/harness/Runner.java
@@ -6,7 +6,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A sound runner that registers in the store, answers each request, and can crash and start again. */
@@ -18,7 +21,19 @@
     private static final long HEARTBEAT_MS = 1_200;
     private static final int EXPIRY_HEARTBEATS = 3;
 
+    /** What a faulty runner sends after a complete response: the beginning of another one. */
+    private static final String[] EXTRA = {
+        "HTTP/1.1 503 Service Unavailable\r\nChestnutloom-Not-Executed: 1",
+        "HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec",
+    };
+
     final List<Run> runs = new CopyOnWriteArrayList<>();
+    /** The statuses of the responses by attempt id. */
+    final Map<String, Integer> statuses = new ConcurrentHashMap<>();
+    /** The share of the requests that fail at this runner with its own status 500. */
+    volatile double failureShare;
+    /** The share of the responses after which this runner sends additional bytes. */
+    volatile double extraShare;
     private final Store store;
     private final Recorder recorder;
     private final String name;
@@ -117,11 +132,23 @@
             stream(output, headers, attempt);
         } else {
             sleep(workMs);
-            respond(output, 200, headers, ("done " + attempt).getBytes(StandardCharsets.UTF_8));
+            int status = ThreadLocalRandom.current().nextDouble() < failureShare ? 500 : 200;
+            statuses.put(attempt, status);
+            String result = (status == 200 ? "done " : "failed ") + attempt;
+            respond(output, status, headers, result.getBytes(StandardCharsets.UTF_8));
+            if (ThreadLocalRandom.current().nextDouble() < extraShare) sendExtra(output, attempt);
         }
         return true;
     }
 
+    private void sendExtra(OutputStream output, String attempt) throws IOException {
+        sleep(5);
+        String extra = EXTRA[ThreadLocalRandom.current().nextInt(EXTRA.length)];
+        output.write(extra.getBytes(StandardCharsets.ISO_8859_1));
+        output.flush();
+        recorder.log(id + " sends additional bytes after its answer to " + attempt + ": " + extra.replace("\r\n", " | "));
+    }
+
     private void stream(OutputStream output, String headers, String attempt) throws IOException {
         output.write(("HTTP/1.1 200 OK\r\n" + headers + "Content-Type: text/event-stream\r\n"
             + "Transfer-Encoding: chunked\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
