Show that a stream cut off inside an event ends as complete

A response without a length ends with its connection, and a runner that is killed closes it in order. The gateway ends the stream as complete, although it stops in the middle of an event.

--- a/review/harness/Runner.java
+++ b/review/harness/Runner.java
@@ -170,7 +170,7 @@
         return "words " + event + " of " + attempt;
     }
 
-    private static String event(int event, String attempt) {
+    static String event(int event, String attempt) {
         return "id: " + event + "\ndata: " + data(event, attempt) + "\n\n";
     }
 
