--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the case; TROUBLE=0 leaves out the disruption. Run review/build.sh first.
+# Plays the case and writes record.txt in this folder; TROUBLE=0 leaves out the disruption. Run review/build.sh first.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -f target/review/review/LargeTurn.class ] || { echo "run review/build.sh first" >&2; exit 2; }
