Complete the response to a turn only once the store has the turn

Fix: only the store's acknowledgement counts. The response waits for it without its target, which used to stay occupied and was blamed when a save failed, and ends without its last chunk when the caller's time is over. Replicas of turns in memory are gone, with their messages and heartbeat field, and so is the search at other gateways before a 404: a turn that the store does not hold has never been complete. On a related path, a target's Content-Length was passed on with a turn, which then looked complete with its last byte; such responses are chunked now. Turns that arrive while the store is known to be unavailable (for half a second, and no other gateway reaches it) are refused at once. FleetTurnPeersSpec: the search no longer decides whether a turn exists. TurnSpec: the case that expected a complete response in an outage now expects it after the outage.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
@@ -16,7 +16,6 @@
 import org.chestnutloom.wire.link.PeerIdentity
 import org.chestnutloom.wire.message.CallRefused
 import org.chestnutloom.wire.message.ChangeStore
-import org.chestnutloom.wire.message.CopyTurn
 import org.chestnutloom.wire.message.Done
 import org.chestnutloom.wire.message.FindTurn
 import org.chestnutloom.wire.message.LinkReply
@@ -46,7 +45,6 @@
             is ReadStore -> read(request)
             is ChangeStore -> change(request)
             is TrimBudget -> trim(request)
-            is CopyTurn -> acceptReplica(request)
             is FindTurn -> TurnFound(turns.find(request.turn))
             else -> refusal("Edge gateways do not support this request type.")
         }
@@ -76,12 +74,6 @@
             is ChangeFailure.Failed -> toWire(failure.cause)
         }
 
-    private fun acceptReplica(request: CopyTurn): LinkReply =
-        turns.acceptReplica(request).fold(
-            { refusal("The turn is malformed: ${it.detail}.") },
-            { isAccepted -> if (isAccepted) Done else refusal("No capacity is left for replicas of turns.") },
-        )
-
     private fun refusal(detail: String): LinkReply =
         CallRefused(Refusal(RefusalCode.BAD_REQUEST, Execution.NOT_RUN, detail))
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -102,14 +102,7 @@
     private val store = RelayingRowStore(ownStore, storeHealth, fleet, links)
     private val budgets =
         BudgetAllocator(store, FleetBudgetPeers(fleet, links), settings.self.gateway, settings.self.incarnation)
-    private val turns =
-        TurnStore(
-            settings.self.run,
-            TurnRows(store, settings.rowBytes),
-            FleetTurnPeers(settings.self, fleet, links),
-            clock,
-            loop.scope,
-        )
+    private val turns = TurnStore(TurnRows(store, settings.rowBytes), FleetTurnPeers(fleet, links), store, clock)
     private val memberRegistry = MemberRegistry(store, settings.self, memberCodec)
     private val shutdownDeadline = ShutdownDeadline()
     private val limits = IngressLimits { configurations.current?.limits ?: INITIAL_LIMITS }
@@ -129,7 +122,6 @@
 
     override suspend fun start() {
         heartbeats.fleet = fleet
-        heartbeats.turns = turns
         heartbeats.links = links
         heartbeats.memberRegistry = memberRegistry
         registerGauges()
@@ -139,7 +131,6 @@
         socket.start(::receive)
         fleet.start()
         links.start(EdgeLinkHandler(ownStore, budgets, turns))
-        loop.scope.launch { turns.run() }
         loop.scope.launch { memberRegistry.register() }
         watch(adapter.rowDecoder.configurationTable, ConfigurationListener(adapter.rowDecoder, configurations))
         watch(adapter.rowDecoder.targetTable, TargetListener(adapter.rowDecoder, targets, storeHealth, loop.scope))
@@ -199,7 +190,7 @@
     }
 
     private fun callService(): CallService {
-        val attempts = TargetAttempts(adapter.callCodec, ResponseRelay(turns, clock), clock, loop.scope)
+        val attempts = TargetAttempts(adapter.callCodec, ResponseRelay(clock), clock, loop.scope)
         val dispatcher = CallDispatcher(scheduler, attempts, quarantine, clock, loop.scope)
         return CallService(
             configurations,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/HeartbeatExchange.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/HeartbeatExchange.kt
@@ -20,7 +20,6 @@
 import org.chestnutloom.edge.target.PeerLoads
 import org.chestnutloom.edge.target.TargetDirectory
 import org.chestnutloom.edge.target.TargetScheduler
-import org.chestnutloom.edge.turn.TurnStore
 import org.chestnutloom.id.ClientAccountId
 import org.chestnutloom.id.GatewayId
 import org.chestnutloom.time.Clock
@@ -41,11 +40,9 @@
     val quotas: AccountQuotas = AccountQuotas(self.gateway, this, this, clock)
     private val peerLoads = PeerLoads(targets)
 
-    // Set after construction: the fleet is created with this object, and the turns and the registry need the fleet.
+    // Set after construction: the fleet is created with this object, and the registry needs the fleet.
     lateinit var fleet: Fleet
 
-    lateinit var turns: TurnStore
-
     lateinit var links: PeerLinks
 
     lateinit var memberRegistry: MemberRegistry
@@ -72,7 +69,6 @@
                     incarnation = self.incarnation,
                     sequence = sequence,
                     reachesStore = storeHealth.hasRecentResponse && !storeHealth.isFailing,
-                    turnsToWrite = turns.pendingWriteCount,
                     loads = largestLoads(),
                 ),
             relayed = relayed,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/AttemptResult.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/AttemptResult.kt
@@ -1,11 +1,18 @@
 package org.chestnutloom.edge.call
 
+import org.chestnutloom.edge.turn.TurnRecord
+
 /** The result of sending a call to one target. */
 internal sealed interface AttemptResult {
-    /** The target's response was relayed to the caller, completely or in part. */
-    data class Responded(
+    /**
+     * The target's response was relayed to the caller, completely or in part.
+     *
+     * @property turn the turn that must be durable before the response to the caller ends, or null if it has ended
+     */
+    class Responded(
         val status: Int,
         val isComplete: Boolean,
+        val turn: TurnRecord? = null,
     ) : AttemptResult
 
     /** The target did not run the call and never will. */
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -27,6 +27,7 @@
 import org.chestnutloom.edge.store.storeUnavailable
 import org.chestnutloom.edge.turn.TurnChain
 import org.chestnutloom.edge.turn.TurnFailure
+import org.chestnutloom.edge.turn.TurnRecord
 import org.chestnutloom.edge.turn.TurnStore
 import org.chestnutloom.time.Clock
 import kotlin.random.Random
@@ -57,7 +58,7 @@
         try {
             either { serve(request, exchange, context) }
                 .onLeft { refuse(it, exchange, context) }
-                .onRight { context.outcome = if (it.isComplete) "answered" else "broken_off" }
+                .onRight { isComplete -> context.outcome = if (isComplete) "answered" else "broken_off" }
         } catch (e: CancellationException) {
             context.outcome = "caller_left"
             throw e
@@ -70,11 +71,12 @@
         }
     }
 
+    /** Serves [request] and returns whether its response is complete. */
     private suspend fun Raise<Refusal>.serve(
         request: CallerRequest,
         exchange: CallerExchange,
         context: RequestLogContext,
-    ): AttemptResult.Responded {
+    ): Boolean {
         val head = codec.head(request)
         context.head = head
         val configuration = configurations.awaitCurrent() ?: raise(stale("No configuration has been read yet."))
@@ -89,7 +91,18 @@
         account?.let { admit(it, call, context) }
         val response = dispatcher.dispatch(call).bind()
         context.status = response.status
-        return response
+        return response.isComplete && completeTurn(call, response.turn)
+    }
+
+    /** Ends the response to a turn once [turn] is durable; returns false if that fails while the caller waits. */
+    private suspend fun completeTurn(
+        call: RoutedCall,
+        turn: TurnRecord?,
+    ): Boolean {
+        if (turn == null) return true
+        val isSaved = turns.save(turn, until = call.callerDeadline)
+        if (isSaved) call.exchange.finish() else call.exchange.abort()
+        return isSaved
     }
 
     private fun Raise<Refusal>.resolveRoute(
@@ -181,6 +194,8 @@
         head: CallHead,
     ): TurnChain? {
         if (!route.isRetained) return null
+        // Its response could not complete; the caller does better to return than to wait for an end that does not come.
+        if (!turns.canSave) raise(storeUnavailable("The turn cannot be saved because the store is unavailable."))
         val previous = head.previousTurn ?: return TurnChain(emptyList())
         return turns.chain(previous, account?.id).getOrElse { raise(refusalOf(it)) }
     }
@@ -188,8 +203,6 @@
     private fun refusalOf(failure: TurnFailure): Refusal =
         when (failure) {
             is TurnFailure.NotFound -> Refusal(RefusalCode.NOT_FOUND, Execution.NOT_RUN, "The turn does not exist.")
-            is TurnFailure.GatewayUnavailable ->
-                storeUnavailable("The turn is not in the store, and another gateway is unreachable.")
             is TurnFailure.StoreUnavailable ->
                 storeUnavailable("The turn cannot be read because the store is unavailable.")
         }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
@@ -1,6 +1,7 @@
 package org.chestnutloom.edge.call
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.handler.codec.http.HttpHeaderNames
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.common.log.warnEvent
@@ -8,8 +9,8 @@
 import org.chestnutloom.edge.http.ResponsePart
 import org.chestnutloom.edge.target.Target
 import org.chestnutloom.edge.turn.EventStreamParser
+import org.chestnutloom.edge.turn.TurnChain
 import org.chestnutloom.edge.turn.TurnRecord
-import org.chestnutloom.edge.turn.TurnStore
 import org.chestnutloom.time.Clock
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration.Companion.milliseconds
@@ -18,7 +19,6 @@
 
 /** Relays target responses to callers. */
 internal class ResponseRelay(
-    private val turns: TurnStore,
     private val clock: Clock,
 ) {
     /** Drains an unwanted response and returns whether it was read completely. */
@@ -49,7 +49,11 @@
         }
     }
 
-    /** Relays a streamed response as its parts arrive. */
+    /**
+     * Relays a streamed response as its parts arrive.
+     *
+     * The response to a turn is not ended here, but once the turn is durable.
+     */
     suspend fun relayStream(
         call: RoutedCall,
         target: Target,
@@ -59,6 +63,8 @@
     ): ReadResult {
         val events = EventStreamParser(collectsData = call.route.isRetained)
         target.cache.add(call.head.prompt)
+        // With a length, the response to a turn would look complete with its last byte, before the turn is durable.
+        if (call.chain != null) head.headers.remove(HttpHeaderNames.CONTENT_LENGTH)
         call.exchange.start(head.status, head.headers)
         var isComplete = false
         try {
@@ -66,7 +72,10 @@
         } finally {
             settleReservation(call, events, isComplete)
         }
-        return finishResponse(call, head, isComplete && saveTurn(call, target, events))
+        val chain = call.chain
+        if (!isComplete || chain == null) return finishResponse(call, head, isComplete)
+        val turn = turnOf(call, chain, target, events)
+        return ReadResult(AttemptResult.Responded(head.status, isComplete, turn), isConnectionReusable = true)
     }
 
     private fun finishResponse(
@@ -142,24 +151,20 @@
         reservation.complete(countedEvents.toLong() * tokensPerEvent)
     }
 
-    /** Saves the turn before its response completes and returns whether the turn is durable. */
-    private suspend fun saveTurn(
+    private fun turnOf(
         call: RoutedCall,
+        chain: TurnChain,
         target: Target,
         events: EventStreamParser,
-    ): Boolean {
-        val chain = call.chain ?: return true
-        val record =
-            TurnRecord(
-                id = call.id,
-                account = call.account?.id,
-                ancestors = chain.ids,
-                input = call.request.body,
-                output = events.output(),
-                target = target.entry.id,
-            )
-        return turns.save(record)
-    }
+    ): TurnRecord =
+        TurnRecord(
+            id = call.id,
+            account = call.account?.id,
+            ancestors = chain.ids,
+            input = call.request.body,
+            output = events.output(),
+            target = target.entry.id,
+        )
 
     private suspend fun collect(
         parts: ReceiveChannel<ResponsePart>,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/GatewayState.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/GatewayState.kt
@@ -11,7 +11,6 @@
  *
  * @property sequence increases with each heartbeat of an incarnation
  * @property reachesStore whether the platform's store has recently responded to the gateway
- * @property turnsToWrite the number of turns that the gateway still has to write to the store
  * @property loads the requests of the gateway at targets, without targets that have none; the largest ones if there are
  *   more than fit
  */
@@ -23,6 +22,5 @@
     public val incarnation: Incarnation,
     public val sequence: Long,
     public val reachesStore: Boolean,
-    public val turnsToWrite: Int,
     public val loads: List<TargetLoad>,
 )
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Member.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Member.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.serialization.Serializable
 import org.chestnutloom.id.GatewayId
-import org.chestnutloom.id.GatewayRun
 import org.chestnutloom.id.Incarnation
 import org.chestnutloom.wire.link.PeerAddress
 
@@ -17,8 +16,4 @@
     public val incarnation: Incarnation,
     public val failureDomain: String,
     public val address: PeerAddress,
-) {
-    /** The gateway incarnation that wrote this registration. */
-    public val run: GatewayRun
-        get() = GatewayRun(gateway, incarnation)
-}
+)
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Peer.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Peer.kt
@@ -1,6 +1,5 @@
 package org.chestnutloom.edge.fleet
 
-import org.chestnutloom.id.GatewayRun
 import kotlin.time.Duration
 
 /** The state of another gateway as observed by this one; confined to the event loop. */
@@ -20,10 +19,6 @@
     public var state: GatewayState? = null
         internal set
 
-    /** The incarnation that sent the most recent state, or null before the first. */
-    public val run: GatewayRun?
-        get() = state?.let { GatewayRun(it.gateway, it.incarnation) }
-
     /** Whether this gateway and the peer send each other every heartbeat. */
     internal var isNeighbor: Boolean = false
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/RelayingRowStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/RelayingRowStore.kt
@@ -11,6 +11,7 @@
 import org.chestnutloom.edge.store.RowSnapshot
 import org.chestnutloom.edge.store.RowStore
 import org.chestnutloom.edge.store.StoreHealth
+import org.chestnutloom.edge.store.StoreReachability
 import org.chestnutloom.edge.store.WatchFailure
 import org.chestnutloom.edge.store.failureFromWire
 import org.chestnutloom.edge.store.rowsFromWire
@@ -35,7 +36,10 @@
     private val health: StoreHealth,
     private val fleet: Fleet,
     private val links: PeerLinks,
-) : RowStore {
+) : RowStore,
+    StoreReachability {
+    override fun isReachable(): Boolean = !health.isUnavailable || relayPeer() != null
+
     override suspend fun read(
         table: String,
         partition: String,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
@@ -6,51 +6,47 @@
 import arrow.core.raise.either
 import arrow.core.right
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.chestnutloom.common.log.event
 import org.chestnutloom.common.log.warnEvent
 import org.chestnutloom.edge.codec.CborCodec
-import org.chestnutloom.edge.codec.MalformedCbor
+import org.chestnutloom.edge.store.StoreReachability
 import org.chestnutloom.id.CallId
 import org.chestnutloom.id.ClientAccountId
-import org.chestnutloom.id.GatewayRun
 import org.chestnutloom.store.StoreFailure
 import org.chestnutloom.time.Clock
-import org.chestnutloom.wire.message.CopyTurn
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
 
 /**
  * Stores turns so that any gateway can continue them; confined to the event loop.
  *
- * A turn is written to the platform's store before its response completes. While the store is unavailable, other
- * gateways hold replicas of the turn until it is written.
- *
- * @param self the current incarnation of this gateway
+ * A turn is durable once the platform's store has acknowledged it, and its response completes only then. The memory of
+ * gateways does not count, since all of them may fail at the same moment. A turn that the store does not hold has
+ * therefore never been completed.
  */
 public class TurnStore(
-    self: GatewayRun,
     private val rows: TurnRows,
     private val peers: TurnPeers,
-    clock: Clock,
-    scope: CoroutineScope,
+    private val reachability: StoreReachability,
+    private val clock: Clock,
 ) {
     private val codec = CborCodec(TurnRecord.serializer())
     private val recent = TurnCache(RECENT_BYTES)
-    private val unsaved = UnsavedTurns(self, rows, peers, clock, scope)
-
-    /** The number of turns held here that the store may not hold yet. */
-    public val unsavedCount: Int
-        get() = unsaved.count
 
-    /** The number of turns that this gateway has to write when the store recovers. */
-    public val pendingWriteCount: Int
-        get() = unsaved.pendingWriteCount
+    /** The number of turns whose responses wait for the store. */
+    public var unsavedCount: Int = 0
+        private set
 
-    /** Writes the turns held here to the store until cancelled. */
-    public suspend fun run(): Unit = unsaved.run()
+    /** Whether a turn that starts now can be expected to become durable. */
+    public val canSave: Boolean
+        get() = reachability.isReachable()
 
     /** Loads the chain that ends with [last], which must belong to [account]. */
     public suspend fun chain(
@@ -64,49 +60,64 @@
             TurnChain(older.map { loaded -> loaded.bind() } + newest)
         }
 
-    /** Saves [record] and returns whether it is durable beyond this process. */
-    public suspend fun save(record: TurnRecord): Boolean {
-        recent.put(record)
-        return unsaved.save(record, codec.encode(record))
+    /**
+     * Writes [record] to the store, and again after failures, and returns whether the store has acknowledged it.
+     *
+     * @param until the time on the monotonic clock at which to give up
+     */
+    public suspend fun save(
+        record: TurnRecord,
+        until: Duration,
+    ): Boolean {
+        val startedAt = clock.elapsed()
+        unsavedCount++
+        try {
+            val failures = withTimeoutOrNull(until - startedAt) { writeUntilSaved(record) }
+            if (failures == null) {
+                logger.warnEvent("turn_not_saved", "turn" to record.id, "after_ms" to millisSince(startedAt))
+                return false
+            }
+            if (failures > 0) {
+                logger.event("turn_saved_late", "turn" to record.id, "after_ms" to millisSince(startedAt))
+            }
+            recent.put(record)
+            return true
+        } finally {
+            unsavedCount--
+        }
     }
 
-    /** Holds a replica for another gateway until the turn is written; returns whether there is room for it. */
-    public fun acceptReplica(copy: CopyTurn): Either<MalformedCbor, Boolean> =
-        codec.decode(copy.record).map { record ->
-            recent.put(record)
-            unsaved.acceptReplica(record, copy)
+    private fun millisSince(time: Duration): Long = (clock.elapsed() - time).inWholeMilliseconds
+
+    /** Returns the number of failed writes before the store acknowledged the turn. */
+    private suspend fun writeUntilSaved(record: TurnRecord): Int {
+        val bytes = codec.encode(record)
+        var failures = 0
+        while (true) {
+            val failure = rows.write(record.id, bytes).leftOrNull() ?: return failures
+            if (failures++ == 0) logger.warnEvent("turn_write_failed", "turn" to record.id, "cause" to failure)
+            delay(RETRY_DELAY)
         }
+    }
 
-    /** Returns the encoded turn if it is unsaved or in the cache, otherwise null. */
-    public fun find(turn: CallId): ByteArray? = (unsaved[turn] ?: recent.get(turn))?.let(codec::encode)
+    /** Returns the encoded turn if it is in the cache, otherwise null. */
+    public fun find(turn: CallId): ByteArray? = recent.get(turn)?.let(codec::encode)
 
     private suspend fun load(turn: CallId): Either<TurnFailure, TurnRecord> {
         recent.get(turn)?.let { return it.right() }
-        unsaved[turn]?.let { return it.right() }
-        val bytes = rows.read(turn).getOrElse { return searchWithoutStore(turn, it) }
-        return decode(turn, bytes ?: return search(turn))
+        val bytes = rows.read(turn).getOrElse { return findAtPeers(turn, it) } ?: return TurnFailure.NotFound.left()
+        return decode(turn, bytes)
     }
 
-    /**
-     * Asks the other gateways for [turn], which one that recently served or continued it may have in its cache.
-     *
-     * A turn that none of them has may still be in the store.
-     */
-    private suspend fun searchWithoutStore(
+    /** Asks the other gateways for [turn], which one that recently served or continued it may have in its cache. */
+    private suspend fun findAtPeers(
         turn: CallId,
         cause: StoreFailure,
     ): Either<TurnFailure, TurnRecord> {
-        val found = peers.find(turn) as? TurnSearch.Found ?: return TurnFailure.StoreUnavailable(cause).left()
-        return decode(turn, found.record)
+        val bytes = peers.find(turn) ?: return TurnFailure.StoreUnavailable(cause).left()
+        return decode(turn, bytes)
     }
 
-    private suspend fun search(turn: CallId): Either<TurnFailure, TurnRecord> =
-        when (val found = peers.find(turn)) {
-            is TurnSearch.Found -> decode(turn, found.record)
-            is TurnSearch.NotFound -> TurnFailure.NotFound.left()
-            is TurnSearch.Inconclusive -> TurnFailure.GatewayUnavailable.left()
-        }
-
     private fun decode(
         turn: CallId,
         bytes: ByteArray,
@@ -120,5 +131,7 @@
     private companion object {
         /** Holds the turns that callers continue within a few seconds at one gateway. */
         private const val RECENT_BYTES = 12L * 1024 * 1024
+
+        private val RETRY_DELAY = 100.milliseconds
     }
 }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/EdgeLinkHandlerSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/EdgeLinkHandlerSpec.kt
@@ -15,22 +15,16 @@
 import org.chestnutloom.edge.store.RowStore
 import org.chestnutloom.edge.turn.TurnPeers
 import org.chestnutloom.edge.turn.TurnRows
-import org.chestnutloom.edge.turn.TurnSearch
 import org.chestnutloom.edge.turn.TurnStore
-import org.chestnutloom.edge.turn.WriterProgress
-import org.chestnutloom.id.CallId
 import org.chestnutloom.id.GatewayId
-import org.chestnutloom.id.GatewayRun
 import org.chestnutloom.id.Incarnation
 import org.chestnutloom.id.ProgramId
 import org.chestnutloom.wire.link.PeerIdentity
 import org.chestnutloom.wire.link.PeerRole
-import org.chestnutloom.wire.message.CopyTurn
 import org.chestnutloom.wire.message.Done
 import org.chestnutloom.wire.message.TrimBudget
 import kotlin.time.Duration.Companion.milliseconds
 
-private val SELF = GatewayRun(GatewayId("g1"), Incarnation("1"))
 private val PEER = PeerIdentity("g2", Incarnation("1"), PeerRole.GATEWAY)
 private val PROGRAM = ProgramId("p1")
 
@@ -44,32 +38,28 @@
     }
 }
 
-private object NoTurnPeers : TurnPeers {
-    override val ownHeartbeatSequence = 0L
-
-    override fun reachablePeers(): List<GatewayRun> = emptyList()
-
-    override fun writerProgress(run: GatewayRun): WriterProgress? = null
-
-    override suspend fun replicate(
-        peer: GatewayRun,
-        turn: CopyTurn,
-    ) = false
-
-    override suspend fun find(turn: CallId): TurnSearch = TurnSearch.NotFound
-}
-
 class EdgeLinkHandlerSpec :
     DescribeSpec({
         fun TestScope.turnStore(store: RowStore) =
-            TurnStore(SELF, TurnRows(store, rowBytes = 65_536), NoTurnPeers, VirtualClock(this), backgroundScope)
+            TurnStore(TurnRows(store, rowBytes = 65_536), TurnPeers { null }, { true }, VirtualClock(this))
 
         describe("a request to release an unneeded claim") {
             // Guards against a lost reply, after which the other gateway refuses the turn as contended.
             it("is acknowledged after the claim was written") {
                 runTest {
                     val store = DelayedRowStore(InMemoryRowStore())
-                    val budgets = BudgetAllocator(store, BudgetPeers { _, _ -> true }, SELF.gateway, SELF.incarnation)
+                    val budgets =
+                        BudgetAllocator(
+                            store,
+                            BudgetPeers {
+                                _,
+                                _,
+                                ->
+                                true
+                            },
+                            GatewayId("g1"),
+                            Incarnation("1"),
+                        )
                     val handler = EdgeLinkHandler(store, budgets, turnStore(store))
                     budgets.reserve(PROGRAM, budgetTokens = 800, maxTokens = 100).getOrNull()?.complete(usedTokens = 50)
                     handler.handle(PEER, TrimBudget(PROGRAM)).first() shouldBe Done
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/FleetSocketSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/FleetSocketSpec.kt
@@ -27,7 +27,6 @@
         incarnation = Incarnation("1"),
         sequence = 1_000_000,
         reachesStore = true,
-        turnsToWrite = 1_000,
         loads = List(LOADS) { TargetLoad(TargetId("target-with-a-long-name-$it"), requests = 100) },
     )
 
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/FleetTurnPeersSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/FleetTurnPeersSpec.kt
@@ -1,11 +1,10 @@
 package org.chestnutloom.edge.fleet
 
 import io.kotest.core.spec.style.DescribeSpec
-import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kotest.matchers.nulls.shouldBeNull
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.chestnutloom.edge.VirtualClock
-import org.chestnutloom.edge.turn.TurnSearch
 import org.chestnutloom.id.CallId
 import org.chestnutloom.id.GatewayId
 import org.chestnutloom.id.Incarnation
@@ -43,28 +42,20 @@
         }
 
         fun TestScope.turnPeersOf(fleet: Fleet) =
-            FleetTurnPeers(member("g1"), fleet, PeerLinks(member("g1"), VirtualClock(this), backgroundScope))
+            FleetTurnPeers(fleet, PeerLinks(member("g1"), VirtualClock(this), backgroundScope))
 
-        describe("looking up a turn that the store does not contain") {
-            it("is inconclusive until the registered gateways are known") {
+        describe("looking up a turn in the caches of the other gateways") {
+            it("finds nothing before any other gateway is known") {
                 runTest {
-                    turnPeersOf(fleet()).find(CallId("t")).shouldBeInstanceOf<TurnSearch.Inconclusive>()
+                    turnPeersOf(fleet()).find(CallId("t")).shouldBeNull()
                 }
             }
 
-            it("is inconclusive while no heartbeat of a registered gateway has arrived") {
+            it("finds nothing if the other gateways do not reply") {
                 runTest {
                     val fleet = fleet()
                     fleet.replaceAll(listOf("g1", "g2").map { RegisteredMember(member(it), rowVersion = 1) })
-                    turnPeersOf(fleet).find(CallId("t")).shouldBeInstanceOf<TurnSearch.Inconclusive>()
-                }
-            }
-
-            it("finds nothing if there is no other gateway") {
-                runTest {
-                    val fleet = fleet()
-                    fleet.replaceAll(listOf(RegisteredMember(member("g1"), rowVersion = 1)))
-                    turnPeersOf(fleet).find(CallId("t")).shouldBeInstanceOf<TurnSearch.NotFound>()
+                    turnPeersOf(fleet).find(CallId("t")).shouldBeNull()
                 }
             }
         }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/SimulatedFleet.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/SimulatedFleet.kt
@@ -143,7 +143,7 @@
             relayed: List<GatewayState>,
         ): FleetHeartbeat {
             val loads = listOf(TargetLoad(TargetId("target"), requests))
-            val state = GatewayState(id, self.incarnation, sequence, reachesStore = true, turnsToWrite = 0, loads)
+            val state = GatewayState(id, self.incarnation, sequence, reachesStore = true, loads)
             return FleetHeartbeat(state, relayed, quotas.report(), emptyList())
         }
 
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TurnSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TurnSpec.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.withTimeout
 import org.chestnutloom.fakes.edge.ScriptedResponse
 import org.chestnutloom.fakes.edge.StoreFault
+import org.chestnutloom.fakes.edge.signedResponse
 import org.chestnutloom.fakes.edge.streamResponse
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -73,18 +74,59 @@
                     .body
                     .decodeToString() shouldBe long + "one\ny"
             }
+        }
 
-            it("is found at another gateway while the store is unavailable") {
+        describe("a turn that ends while the store is unavailable") {
+            // Guards against turns that were answered whole during an outage and unknown after all gateways were killed.
+            it("is completed once the store has it, and then found at another gateway") {
                 fleet.target("e-1", EdgeFleet.LLM) { streamResponse(it, listOf("one")) }
                 val first = RawCaller(fleet.gateway("g1"))
                 val second = RawCaller(fleet.gateway("g2"))
                 first.turn("t0", "a", program = "p").status shouldBe 200
                 second.turn("t00", "a", program = "q").status shouldBe 200
-                delay(400.milliseconds)
                 fleet.store.fault = StoreFault.REFUSE
-                first.turn("t1", "b", previous = "t0", program = "p").hasLastChunk shouldBe true
+                val ended = async { first.turn("t1", "b", previous = "t0", program = "p") }
+                delay(1_000.milliseconds)
+                ended.isCompleted shouldBe false
+                fleet.store.fault = StoreFault.NONE
+                ended.await().hasLastChunk shouldBe true
+                second.turn("t2", "c", previous = "t1", program = "q").status shouldBe 200
+            }
+
+            it("does not look complete before, also when the target's response has a length") {
+                val event = "id: 1\ndata: one\n\n"
+                fleet.target("e-1", EdgeFleet.LLM) { signedResponse(it, event) }
+                val caller = RawCaller(fleet.gateway("g1"))
+                caller.turn("t0", "a", program = "p").status shouldBe 200
+                fleet.store.fault = StoreFault.REFUSE
+                val response = caller.turn("t1", "b", previous = "t0", program = "p")
+                response.header("Content-Length") shouldBe null
+                response.hasLastChunk shouldBe false
+            }
+
+            it("does not look complete when the store stays unavailable while the caller waits") {
+                fleet.target("e-1", EdgeFleet.LLM) { streamResponse(it, listOf("one")) }
+                val caller = RawCaller(fleet.gateway("g1"))
+                caller.turn("t0", "a", program = "p").status shouldBe 200
+                fleet.store.fault = StoreFault.REFUSE
+                caller.turn("t1", "b", previous = "t0", program = "p").hasLastChunk shouldBe false
                 fleet.store.fault = StoreFault.NONE
-                eventually { second.turn("t2", "c", previous = "t1", program = "q").status == 200 }
+                val other = RawCaller(fleet.gateway("g2"))
+                eventually { other.turn("t2", "c", previous = "t1").status == 404 }
+            }
+        }
+
+        describe("a turn that arrives while the store is known to be unavailable") {
+            it("is refused at once as not run, with a retry time") {
+                val target = fleet.target("e-1", EdgeFleet.LLM) { streamResponse(it, listOf("one")) }
+                val caller = RawCaller(fleet.gateway("g1"))
+                caller.turn("t0", "a", program = "p").status shouldBe 200
+                fleet.store.fault = StoreFault.REFUSE
+                delay(2_500.milliseconds)
+                val response = caller.turn("t1", "b", previous = "t0", program = "p")
+                response.status shouldBe 503
+                response.header("Retry-After") shouldBe "0.500"
+                target.received.size shouldBe 1
             }
         }
 
