Break off a stream without a length that is closed inside an event

Cause: such a response ends with its connection, and a process that is killed closes its connections in the same way. The end of the connection was taken as proof; the event parser knew that it was inside an event, but was not asked. Fix: the end of a response says whether a length or a last chunk confirms it. A stream whose end is not confirmed is complete only between two events. This is all that can be told; a cut between two events still can't.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
@@ -112,7 +112,10 @@
                     call.exchange.send(part.bytes)
                     applyBackpressure(call, connection)
                 }
-                is ResponsePart.End -> return true
+                is ResponsePart.End -> {
+                    if (part.isDelimited || events?.isInsideEvent != true) return true
+                    return logAborted(call, "connection was closed inside an event")
+                }
                 is ResponsePart.Aborted -> return logAborted(call, part.cause)
                 is ResponsePart.Head -> return false
             }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -132,19 +132,23 @@
         if (isInterim) return
         if (active.isSkipping || !HttpUtil.isKeepAlive(response)) isUsable = false
         if (active.isSkipping) return
-        if (!HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)) isUsable = false
+        active.isDelimited = isDelimited(response)
+        if (!active.isDelimited) isUsable = false
         keepAliveTimeout = keepAliveTimeoutOf(response)
         active.hasHead = true
         active.parts.trySend(ResponsePart.Head(response))
     }
 
+    private fun isDelimited(response: HttpResponse): Boolean =
+        HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+
     private fun readEnd(active: Exchange) {
         if (active.isSkipping) return
         if (failure != null) return
         exchange = null
         idleSince = clock.elapsed()
         completedExchanges++
-        active.parts.trySend(ResponsePart.End)
+        active.parts.trySend(ResponsePart.End(active.isDelimited))
         active.parts.close()
     }
 
@@ -181,6 +185,9 @@
 
         /** Whether the head of the response to this request has arrived. */
         var hasHead = false
+
+        /** Whether the head of the response tells how its end is recognized. */
+        var isDelimited = false
         var bytesBeforeHead = 0
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponsePart.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponsePart.kt
@@ -14,8 +14,15 @@
         public val bytes: ByteArray,
     ) : ResponsePart
 
-    /** The response is complete. */
-    public data object End : ResponsePart
+    /**
+     * The response has ended.
+     *
+     * @property isDelimited whether its length or its last chunk shows that it is complete; otherwise it ended when the
+     *   server closed the connection, as a server that was killed does as well
+     */
+    public data class End(
+        public val isDelimited: Boolean,
+    ) : ResponsePart
 
     /** The connection was closed or sent invalid HTTP before the response was complete. */
     public data class Aborted(
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/EventStreamParser.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/EventStreamParser.kt
@@ -14,6 +14,7 @@
     private val data = ByteArrayOutputStream()
     private val output = ByteArrayOutputStream()
     private var eventBytes = 0
+    private var hasFields = false
     private var hasData = false
     private var lastWasCarriageReturn = false
 
@@ -21,6 +22,10 @@
     public var eventCount: Int = 0
         private set
 
+    /** Whether an event has begun and not ended yet, so that more of the stream must follow. */
+    public val isInsideEvent: Boolean
+        get() = hasFields || line.size() > 0
+
     /** Whether the stream exceeded a limit and is no longer parsed: [MAX_EVENT_BYTES] or [MAX_OUTPUT_BYTES]. */
     public var isTooLarge: Boolean = false
         private set
@@ -50,6 +55,7 @@
 
     private fun readField() {
         val bytes = line.toByteArray()
+        if (bytes[0] != COMMENT_START) hasFields = true
         if (!startsWithData(bytes)) return
         if (hasData) data.write(LINE_FEED.toInt())
         hasData = true
@@ -62,6 +68,7 @@
         bytes.size >= DATA_FIELD.size && DATA_FIELD.indices.all { bytes[it] == DATA_FIELD[it] }
 
     private fun endEvent() {
+        hasFields = false
         if (!hasData) return
         eventCount++
         eventBytes = 0
@@ -79,6 +86,7 @@
         /** Far above the longest response of a model. */
         private const val MAX_OUTPUT_BYTES = 4 * 1024 * 1024
 
+        private const val COMMENT_START = ':'.code.toByte()
         private const val LINE_FEED = '\n'.code.toByte()
         private const val CARRIAGE_RETURN = '\r'.code.toByte()
         private const val SPACE_BYTE = ' '.code.toByte()
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/EventStreamParserSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/EventStreamParserSpec.kt
@@ -31,6 +31,18 @@
                 parserOf("id: 1\ndata: cane\n\nid: 2\ndata: rat").eventCount shouldBe 1
             }
 
+            // Guards against a stream that was cut off inside an event and looked complete.
+            it("is inside an event from its first byte to the end of its empty line") {
+                val event = "id: 1\ndata: cane\n\n"
+                event.indices.forEach { length -> parserOf(event.take(length)).isInsideEvent shouldBe (length > 0) }
+                parserOf(event).isInsideEvent shouldBe false
+                parserOf(event, "version: 3\n").isInsideEvent shouldBe true
+            }
+
+            it("is not inside an event after a comment") {
+                parserOf("data: cane\n\n: a comment\n").isInsideEvent shouldBe false
+            }
+
             it("joins data of several lines and ignores other fields") {
                 val parser = parserOf("event: x\nversion: 3\ndata: a\ndata: b\n\n: a comment\n\n")
                 parser.eventCount shouldBe 1
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TargetResponseSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TargetResponseSpec.kt
@@ -66,6 +66,17 @@
                 caller.send("POST", "/pay/reset").status shouldBe 502
             }
 
+            it("that is closed before its length is reached has an unknown outcome") {
+                fleet.target("i-1") {
+                    ScriptedResponse(
+                        listOf(responseHead(it) + "Content-Length: 10\r\n\r\nshort"),
+                        ConnectionAction.CLOSE,
+                        pause = 20.milliseconds,
+                    )
+                }
+                fleet.caller().send("POST", "/pay/1").status shouldBe 502
+            }
+
             // Guards against requests to a target that shuts down while the gateway has not read its row yet.
             it("that says that the target leaves is relayed, and later requests go to other targets") {
                 val leaving =
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TurnSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TurnSpec.kt
@@ -7,8 +7,11 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
+import org.chestnutloom.fakes.edge.ConnectionAction
+import org.chestnutloom.fakes.edge.ReceivedRequest
 import org.chestnutloom.fakes.edge.ScriptedResponse
 import org.chestnutloom.fakes.edge.StoreFault
+import org.chestnutloom.fakes.edge.responseHead
 import org.chestnutloom.fakes.edge.signedResponse
 import org.chestnutloom.fakes.edge.streamResponse
 import kotlin.time.Duration.Companion.milliseconds
@@ -158,6 +161,33 @@
             }
         }
 
+        describe("a turn whose response has no length and ends with its connection") {
+            fun undelimited(
+                request: ReceivedRequest,
+                vararg parts: String,
+            ): ScriptedResponse {
+                val head = responseHead(request) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+                return ScriptedResponse(listOf(head) + parts, ConnectionAction.CLOSE, pause = 20.milliseconds)
+            }
+
+            // Guards against a target that was killed inside an event, whose stream ended as complete and was stored.
+            it("is not reported as complete and is not stored if it ends inside an event") {
+                fleet.target("e-1", EdgeFleet.LLM) { undelimited(it, "id: 1\ndata: one\n\n", "id: 2\ndata: tw") }
+                val caller = RawCaller(fleet.gateway("g1"))
+                val response = caller.turn("t1", "hello")
+                response.text shouldContain "data: tw"
+                response.hasLastChunk shouldBe false
+                caller.turn("t2", "x", previous = "t1").status shouldBe 404
+            }
+
+            it("is complete and stored if it ends between two events") {
+                fleet.target("e-1", EdgeFleet.LLM) { undelimited(it, "id: 1\ndata: one\n\n", "id: 2\ndata: two\n\n") }
+                val caller = RawCaller(fleet.gateway("g1"))
+                caller.turn("t1", "hello").hasLastChunk shouldBe true
+                caller.turn("t2", "x", previous = "t1").status shouldBe 200
+            }
+        }
+
         describe("a program's budget") {
             it("is enforced across gateways by refusing further turns") {
                 val target = fleet.target("e-1", EdgeFleet.LLM) { streamResponse(it, List(10) { "x" }) }
