--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
@@ -8,6 +8,7 @@
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.edge.budget.BudgetAllocator
 import org.chestnutloom.edge.store.ChangeFailure
+import org.chestnutloom.edge.store.RowSnapshot
 import org.chestnutloom.edge.store.RowStore
 import org.chestnutloom.edge.store.changeFromWire
 import org.chestnutloom.edge.store.toWire
@@ -45,7 +46,7 @@
             is ReadStore -> read(request)
             is ChangeStore -> change(request)
             is TrimBudget -> trim(request)
-            is FindTurn -> TurnFound(turns.find(request.turn))
+            is FindTurn -> TurnFound(turns.find(request.turn)?.takeIf { it.size <= MAX_TURN_BYTES })
             else -> refusal("Edge gateways do not support this request type.")
         }
 
@@ -57,10 +58,21 @@
     private suspend fun read(request: ReadStore): StoreReply =
         store
             .read(request.table, request.partition)
-            .map { StoreReply.Rows(toWire(it.rows), it.version) }
+            .map { pageOf(it, request.after) }
             .mapLeft { toWire(it) }
             .merge()
 
+    /** Returns the rows of [snapshot] after the key [after], at least one and as many as fit into a link message. */
+    private fun pageOf(
+        snapshot: RowSnapshot,
+        after: String?,
+    ): StoreReply.Rows {
+        val rows = snapshot.rows.sortedBy { it.key.key }.filter { after == null || it.key.key > after }
+        var bytes = 0
+        val page = rows.takeWhile { row -> (bytes < MAX_PAGE_BYTES).also { bytes += row.value?.size ?: 0 } }
+        return StoreReply.Rows(toWire(page), snapshot.version, hasMore = page.size < rows.size)
+    }
+
     private suspend fun change(request: ChangeStore): StoreReply =
         store
             .change(changeFromWire(request))
@@ -76,4 +88,12 @@
 
     private fun refusal(detail: String): LinkReply =
         CallRefused(Refusal(RefusalCode.BAD_REQUEST, Execution.NOT_RUN, detail))
+
+    private companion object {
+        /** With one more row, a page is well below the largest frame of a link. */
+        private const val MAX_PAGE_BYTES = 1024 * 1024
+
+        /** A larger turn does not fit into a frame and has to be read from the store. */
+        private const val MAX_TURN_BYTES = 4 * 1024 * 1024
+    }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -24,6 +24,7 @@
 import org.chestnutloom.edge.http.CallerHandler
 import org.chestnutloom.edge.http.CallerRequest
 import org.chestnutloom.edge.quota.AccountAdmission
+import org.chestnutloom.edge.store.StoreLimits
 import org.chestnutloom.edge.store.storeUnavailable
 import org.chestnutloom.edge.turn.TurnChain
 import org.chestnutloom.edge.turn.TurnFailure
@@ -155,7 +156,8 @@
         exchange: CallerExchange,
         head: CallHead,
     ): RoutedCall {
-        val id = head.id ?: raise(Refusal(RefusalCode.BAD_REQUEST, Execution.NOT_RUN, "The request has no id."))
+        val id = head.id ?: raise(badRequest("The request has no id."))
+        if (route.isRetained && !StoreLimits.allowsName(id.value)) raise(badRequest("The request's id is too long."))
         val service =
             configuration.services[pickDestination(route).service]
                 ?: raise(Refusal(RefusalCode.UNKNOWN_SERVICE, Execution.NOT_RUN, "The service is not configured."))
@@ -214,9 +216,12 @@
         if (route.kind != RouteKind.STREAMING) return null
         val program = head.program ?: return null
         val budgetTokens = head.tokenBudget ?: return null
+        if (!StoreLimits.allowsName(program.value)) raise(badRequest("The program's id is too long."))
         return budgets.reserve(program, budgetTokens, head.maxOutputTokens).bind()
     }
 
+    private fun badRequest(detail: String): Refusal = Refusal(RefusalCode.BAD_REQUEST, Execution.NOT_RUN, detail)
+
     private fun quarantined(): Refusal =
         Refusal(
             RefusalCode.QUARANTINED,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/RelayingRowStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/RelayingRowStore.kt
@@ -12,6 +12,7 @@
 import org.chestnutloom.edge.store.RowStore
 import org.chestnutloom.edge.store.StoreHealth
 import org.chestnutloom.edge.store.StoreReachability
+import org.chestnutloom.edge.store.StoredRow
 import org.chestnutloom.edge.store.WatchFailure
 import org.chestnutloom.edge.store.failureFromWire
 import org.chestnutloom.edge.store.rowsFromWire
@@ -47,10 +48,23 @@
         if (shouldTryDirect()) {
             direct.read(table, partition).onRight { return it.right() }
         }
-        return when (val reply = requestViaPeer(ReadStore(table, partition))) {
-            is StoreReply.Rows -> RowSnapshot(rowsFromWire(reply.rows), reply.version).right()
-            is StoreReply.Failed -> failureFromWire(reply).left()
-            else -> NO_RELAY_PEER.left()
+        return readViaPeers(table, partition)
+    }
+
+    /** Reads [partition] in pages. Its version is that of the first page, so that a watch shows all later changes. */
+    private suspend fun readViaPeers(
+        table: String,
+        partition: String,
+    ): Either<StoreFailure, RowSnapshot> {
+        val rows = ArrayList<StoredRow>()
+        var version: Long? = null
+        while (true) {
+            val page = requestViaPeer(ReadStore(table, partition, rows.lastOrNull()?.key?.key))
+            if (page is StoreReply.Failed) return failureFromWire(page).left()
+            if (page !is StoreReply.Rows) return NO_RELAY_PEER.left()
+            rows += rowsFromWire(page.rows)
+            val firstVersion = version ?: page.version.also { version = it }
+            if (!page.hasMore) return RowSnapshot(rows, firstVersion).right()
         }
     }
 
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/store/InMemoryRowStore.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/store/InMemoryRowStore.kt
@@ -36,6 +36,7 @@
     override suspend fun change(change: RowChange): Either<ChangeFailure, Long> {
         calls++
         if (isUnavailable) return ChangeFailure.Failed(UNAVAILABLE).left()
+        if (!fits(change)) return ChangeFailure.Failed(TOO_LARGE).left()
         if (change.conditions.any { (rows[it.key]?.version ?: 0) != it.version }) {
             return ChangeFailure.Conflict(change.conditions.mapNotNull { rows[it.key] }).left()
         }
@@ -49,6 +50,17 @@
         return version.right()
     }
 
+    /** Returns whether [change] is within the limits of the protocol page. */
+    private fun fits(change: RowChange): Boolean {
+        val values = change.puts.map { (it.value.size + 2) / 3 * 4 }
+        val entries = change.conditions.size + change.puts.size + change.removals.size
+        val names = (change.puts.map { it.key } + change.removals).flatMap { listOf(it.table, it.partition, it.key) }
+        return entries <= 100 &&
+            values.sum() < 1024 * 1024 &&
+            values.all { it <= 65_536 } &&
+            names.all { it.length <= 200 }
+    }
+
     override suspend fun watch(
         table: String,
         version: Long,
@@ -59,6 +71,7 @@
     }
 
     private companion object {
+        private val TOO_LARGE = StoreFailure.Unavailable("the call exceeds a limit")
         private val UNAVAILABLE = StoreFailure.Unavailable("the store is unavailable")
     }
 }
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/RowStoreStandIn.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/RowStoreStandIn.kt
@@ -99,8 +99,20 @@
         val parameters = call.request.queryParameters
         // Read before the rows, so that a watch from this version delivers all changes that the rows do not contain.
         val version = rows.version
-        val found = rows.read(parameters["table"].orEmpty(), parameters["part"].orEmpty())
-        call.respondRows(HttpStatusCode.OK, found, version)
+        val from = parameters["from"].orEmpty()
+        val found =
+            rows.read(parameters["table"].orEmpty(), parameters["part"].orEmpty()).filter { it.key >= from }
+        val page = found.take(minOf(MAX_PAGE_ROWS, rowsWithin(MAX_CALL_BYTES, found).coerceAtLeast(1)))
+        call.respondRows(HttpStatusCode.OK, page, version, hasMore = page.size < found.size)
+    }
+
+    /** Returns how many of the first [rows] have at most [maxBytes] together. */
+    private fun rowsWithin(
+        maxBytes: Int,
+        rows: List<VersionedRow>,
+    ): Int {
+        var bytes = 0
+        return rows.takeWhile { row -> (bytes + (row.value?.length ?: 0)).also { bytes = it } <= maxBytes }.size
     }
 
     private suspend fun feed(call: ApplicationCall) {
@@ -122,14 +134,27 @@
     }
 
     private suspend fun transact(call: ApplicationCall) {
-        val body = Json.parseToJsonElement(call.receiveText()).jsonObject
+        val text = call.receiveText()
+        val body = Json.parseToJsonElement(text).jsonObject
         val conditions = body.rows("expectedRevision")
-        val conflict = rows.transact(conditions, body.rows("put"), body.rows("remove"))
+        val puts = body.rows("put")
+        val removals = body.rows("remove")
+        if (text.length > MAX_CALL_BYTES || isTooLarge(conditions + puts + removals)) {
+            return call.respondText("", status = HttpStatusCode.PayloadTooLarge)
+        }
+        val conflict = rows.transact(conditions, puts, removals)
         if (fault == StoreFault.LOSE_REPLIES) awaitCancellation()
         val status = if (conflict == null) HttpStatusCode.OK else HttpStatusCode.PreconditionFailed
         call.respondRows(status, conflict.orEmpty(), rows.version)
     }
 
+    private fun isTooLarge(entries: List<VersionedRow>): Boolean =
+        entries.size > MAX_CALL_ENTRIES ||
+            entries.any { row ->
+                (row.value?.length ?: 0) > MAX_ROW_BYTES ||
+                    listOf(row.table, row.partition, row.key).any { it.encodeToByteArray().size > MAX_NAME_BYTES }
+            }
+
     private fun JsonObject.rows(name: String): List<VersionedRow> =
         get(name)?.jsonArray.orEmpty().map { it.jsonObject }.map { row ->
             VersionedRow(
@@ -145,11 +170,12 @@
         status: HttpStatusCode,
         found: List<VersionedRow>,
         version: Long,
+        hasMore: Boolean = false,
     ) {
         val body =
             buildJsonObject {
                 put("rows", JsonArray(found.map(::encode)))
-                put("hasMore", JsonPrimitive(false))
+                put("hasMore", JsonPrimitive(hasMore))
                 put("ver", version)
                 put("nowMs", System.nanoTime() / NANOS_PER_MS)
             }
@@ -167,6 +193,14 @@
 
     private companion object {
         private val POLL_INTERVAL = 5.milliseconds
+
+        // The limits of the protocol page.
+        private const val MAX_CALL_ENTRIES = 100
+        private const val MAX_CALL_BYTES = 1024 * 1024
+        private const val MAX_ROW_BYTES = 65_536
+        private const val MAX_NAME_BYTES = 200
+        private const val MAX_PAGE_ROWS = 500
+
         private const val NANOS_PER_MS = 1_000_000L
     }
 }
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TurnSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TurnSpec.kt
@@ -79,6 +79,29 @@
             }
         }
 
+        describe("a turn that exceeds a limit of the store") {
+            // Guards against turns above the store's call size, which were answered whole and never written.
+            it("is continued at another gateway if it is larger than a call of the store") {
+                val target = fleet.target("e-1", EdgeFleet.LLM) { streamResponse(it, listOf("one")) }
+                val long = "x".repeat(990_000)
+                RawCaller(fleet.gateway("g1")).turn("t1", long).hasLastChunk shouldBe true
+                fleet.stopGateway("g1")
+                RawCaller(fleet.gateway("g2")).turn("t2", "y", previous = "t1").status shouldBe 200
+                val continued = target.received.last().body
+                continued.decodeToString() shouldBe long + "one\ny"
+            }
+
+            it("is refused if its id or its program's id is too long") {
+                val target = fleet.target("e-1", EdgeFleet.LLM) { streamResponse(it, listOf("one")) }
+                val caller = RawCaller(fleet.gateway("g1"))
+                caller.turn("i".repeat(201), "x", program = "p").status shouldBe 400
+                caller.turn("t1", "x", program = "p".repeat(201)).status shouldBe 400
+                caller.turn("t2", "x", previous = "i".repeat(201)).status shouldBe 404
+                caller.turn("i".repeat(200), "x", program = "p".repeat(200)).status shouldBe 200
+                target.received.size shouldBe 1
+            }
+        }
+
         describe("a turn that ends while the store is unavailable") {
             // Guards against turns that were answered whole during an outage and unknown after all gateways were killed.
             it("is completed once the store has it, and then found at another gateway") {
--- a/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/StoreReply.kt
+++ b/chestnutloom-wire/src/main/kotlin/org/chestnutloom/wire/message/StoreReply.kt
@@ -10,12 +10,14 @@
      * The rows that were read, or no rows after a successful change.
      *
      * @property version the store's version
+     * @property hasMore whether the partition has more rows than fit into the reply
      */
     @Serializable
     @SerialName("store-rows")
     public class Rows(
         public val rows: List<RelayedRow>,
         public val version: Long,
+        public val hasMore: Boolean = false,
     ) : StoreReply
 
     /** A condition was not met; [current] holds the rows named in the conditions. */
