Clear a request of crashes when it runs to its end, and limit quarantines in time

Cause: each request in flight at a crash is suspected, two crashes quarantine its fingerprint (target_crashed ... verdict=QUARANTINED), and nothing ever cleared it, though requests with it ran to their end between and after the crashes. Fix: a request that a target runs to its end clears its fingerprint of all crashes; the cleared reports circulate among the gateways like the crashes. A quarantine lasts 30 s and doubles with each further crash, up to 4 minutes; Retry-After is what remains. Related paths: calls that a target cuts off as it shuts down are no longer suspected, since it closes its port as well. Reports carry the age of their crash and end with it; more than 24 used to circulate without end, a log line each.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -91,7 +91,7 @@
     private val targets = TargetDirectory(TargetFactory(connector, clock, loop.scope), ::cacheTokensOf)
     private val scheduler =
         TargetScheduler(targets, routingPolicy(RoutingPolicyKind.COST), settings.self.failureDomain, clock)
-    private val quarantine = RequestQuarantine({ connector.isConnectionRefused(it.address) }, loop.scope)
+    private val quarantine = RequestQuarantine({ connector.isConnectionRefused(it.address) }, clock, loop.scope)
     private val heartbeats =
         HeartbeatExchange(settings.self, targets, scheduler, storeHealth, quarantine, clock, loop.scope)
     private val socket = FleetSocket(settings.self.address, loop, DatagramMetrics(metrics))
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
@@ -15,6 +15,7 @@
 import org.chestnutloom.edge.target.Target
 import org.chestnutloom.edge.target.TargetRequirements
 import org.chestnutloom.edge.target.TargetScheduler
+import org.chestnutloom.edge.target.TargetStage
 import org.chestnutloom.time.Clock
 import kotlin.time.Duration
 
@@ -68,22 +69,39 @@
         when (result) {
             is AttemptResult.Responded ->
                 if (result.isComplete) {
-                    target.health.recordSuccess()
-                } else {
-                    quarantine.recordAborted(
-                        call.fingerprint,
-                        runOf(target.entry),
+                    recordSurvival(
+                        call,
+                        target,
                     )
+                } else {
+                    recordAborted(call, target)
                 }
             is AttemptResult.Lost -> {
                 target.health.recordFailure(clock.elapsed())
-                quarantine.recordAborted(call.fingerprint, runOf(target.entry))
+                recordAborted(call, target)
             }
             is AttemptResult.NotRun -> target.health.recordFailure(clock.elapsed())
             is AttemptResult.TimedOut -> Unit
         }
     }
 
+    private fun recordSurvival(
+        call: RoutedCall,
+        target: Target,
+    ) {
+        target.health.recordSuccess()
+        if (quarantine.hasCrashes) quarantine.recordSurvival(call.fingerprint)
+    }
+
+    /** Blames the call for a crash of [target], unless the target was shutting down and closes its port for that. */
+    private fun recordAborted(
+        call: RoutedCall,
+        target: Target,
+    ) {
+        if (target.isLeaving || target.entry.stage != TargetStage.READY) return
+        quarantine.recordAborted(call.fingerprint, runOf(target.entry))
+    }
+
     private fun requirementsOf(call: RoutedCall): TargetRequirements =
         TargetRequirements(
             service = call.service.name,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -32,6 +32,7 @@
 import org.chestnutloom.edge.turn.TurnStore
 import org.chestnutloom.time.Clock
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
@@ -88,7 +89,7 @@
         context.account = account
         val call = buildCall(configuration, route, account, request, exchange, head)
         context.call = call
-        if (quarantine.hasCrashes && quarantine.isQuarantined(call.fingerprint)) raise(quarantined())
+        if (quarantine.hasCrashes) quarantine.remainingQuarantine(call.fingerprint)?.let { raise(quarantined(it)) }
         account?.let { admit(it, call, context) }
         val response = dispatcher.dispatch(call).bind()
         context.status = response.status
@@ -222,12 +223,12 @@
 
     private fun badRequest(detail: String): Refusal = Refusal(RefusalCode.BAD_REQUEST, Execution.NOT_RUN, detail)
 
-    private fun quarantined(): Refusal =
+    private fun quarantined(remaining: Duration): Refusal =
         Refusal(
             RefusalCode.QUARANTINED,
             Execution.NOT_RUN,
             "Earlier attempts of this request crashed targets.",
-            QUARANTINE_RETRY_MS,
+            remaining.inWholeMilliseconds,
         )
 
     /** Refuses a call that might still be running when this gateway exits, so that the caller uses another gateway. */
@@ -275,7 +276,6 @@
         /** A request over its account's rate waits for at most the caller's timeout divided by this number. */
         private const val RATE_LIMIT_WAIT_DIVISOR = 4
         private val MAX_RATE_LIMIT_WAIT = 1.seconds
-        private const val QUARANTINE_RETRY_MS = 60_000L
         private const val STOPPING_RETRY_MS = 20L
         private const val STALE_RETRY_MS = 500L
         private val EMPTY_BODY = ByteArray(0)
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/RequestQuarantine.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/RequestQuarantine.kt
@@ -6,41 +6,52 @@
 import kotlinx.coroutines.launch
 import org.chestnutloom.common.log.event
 import org.chestnutloom.edge.fleet.CrashReport
-import org.chestnutloom.quarantine.CrashHistory
-import org.chestnutloom.quarantine.CrashVerdict
+import org.chestnutloom.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
 
 /**
- * Quarantines requests that crashed more than one target; confined to the event loop.
+ * Quarantines requests that crashed several targets and ran without a crash at none; confined to the event loop.
  *
  * An aborted response alone does not indicate a crash. It counts as one only if no process listens on the target's port
- * any more; the crash is then recorded for every request whose response the target aborted.
+ * any more. As every request in flight at that moment is suspected, a suspicion is cleared when a request with the same
+ * fingerprint runs to its end, and a quarantine is limited in time: its length doubles with each further crash.
  */
 internal class RequestQuarantine(
     private val probe: CrashProbe,
+    private val clock: Clock,
     private val scope: CoroutineScope,
 ) {
-    private var history = CrashHistory.empty()
-    private val recentReports = ArrayDeque<CrashReport>()
+    /** In the order of their last change, the most recent one last. */
+    private val evidence = LinkedHashMap<EvidenceKey, CrashEvidence>()
     private var nextOlder = 0
 
-    /** Returns crashes to be sent to the other gateways: the most recent ones, and some of the older ones in turn. */
+    /** Whether any crash is recorded; without one, no fingerprint has to be computed. */
+    val hasCrashes: Boolean
+        get() = evidence.isNotEmpty()
+
+    /** Returns reports for the other gateways: the most recent changes, and some of the older reports in turn. */
     fun nextReports(): List<CrashReport> {
-        val newest = recentReports.takeLast(NEWEST_PER_HEARTBEAT)
-        val older = recentReports.dropLast(NEWEST_PER_HEARTBEAT)
+        removeExpired()
+        val reports = evidence.values.map { it.toReport(clock.elapsed()) }
+        val newest = reports.takeLast(NEWEST_PER_HEARTBEAT)
+        val older = reports.dropLast(NEWEST_PER_HEARTBEAT)
         if (older.isEmpty()) return newest
         return newest + List(minOf(OLDER_PER_HEARTBEAT, older.size)) { older[nextOlder++.mod(older.size)] }
     }
 
-    /** Whether any crash is recorded; without one, no fingerprint has to be computed. */
-    val hasCrashes: Boolean
-        get() = recentReports.isNotEmpty()
-
-    /** Returns whether the request with [fingerprint] must not be sent to any target. */
-    fun isQuarantined(fingerprint: RequestFingerprint): Boolean =
-        history.verdictOf(fingerprint.value) == CrashVerdict.QUARANTINED
+    /** Returns how long the request with [fingerprint] must not be sent to any target, or null if it may be sent. */
+    fun remainingQuarantine(fingerprint: RequestFingerprint): Duration? {
+        val crashes = crashesOf(fingerprint)
+        if (crashes.size < QUARANTINE_CRASHES) return null
+        val furtherCrashes = (crashes.size - QUARANTINE_CRASHES).coerceAtMost(MAX_DOUBLINGS)
+        val endsAt = crashes.maxOf { it.crashedAt } + FIRST_QUARANTINE * (1 shl furtherCrashes)
+        return (endsAt - clock.elapsed()).takeIf { it.isPositive() }
+    }
 
     /** Records that [targetRun] aborted the response to the request with [fingerprint]. */
     fun recordAborted(
@@ -49,29 +60,83 @@
     ) {
         scope.launch {
             delay(PROBE_DELAY)
-            if (probe.isDown(targetRun)) record(CrashReport(fingerprint.value, targetRun.name))
+            if (!probe.isDown(targetRun)) return@launch
+            put(CrashEvidence(fingerprint, targetRun.name, clock.elapsed(), isCleared = false))
         }
     }
 
+    /** Records that a target ran the request with [fingerprint] to its end, which clears it of earlier crashes. */
+    fun recordSurvival(fingerprint: RequestFingerprint) {
+        crashesOf(fingerprint).forEach { put(it.copy(isCleared = true)) }
+    }
+
     /** Merges [reports] received from another gateway. */
     fun merge(reports: List<CrashReport>) {
-        reports.filterNot { it in recentReports }.forEach(::record)
+        val now = clock.elapsed()
+        reports.forEach { report ->
+            val fingerprint = RequestFingerprint(report.fingerprint)
+            val crashedAt = now - report.ageMs.milliseconds
+            put(CrashEvidence(fingerprint, report.crash, crashedAt, report.isCleared))
+        }
     }
 
-    private fun record(report: CrashReport) {
-        history = history.recordCrash(listOf(report.fingerprint), report.crash)
-        recentReports.addLast(report)
-        if (recentReports.size > MAX_REPORTS) recentReports.removeFirst()
-        val verdict = history.verdictOf(report.fingerprint)
-        logger.event("target_crashed", "run" to report.crash, "fingerprint" to report.fingerprint, "verdict" to verdict)
+    private fun crashesOf(fingerprint: RequestFingerprint): List<CrashEvidence> =
+        evidence.values.filter { it.fingerprint == fingerprint && !it.isCleared }
+
+    /** Adds or clears evidence; ignores what is known, too old, or older than everything kept at the maximum number. */
+    private fun put(received: CrashEvidence) {
+        val key = EvidenceKey(received.fingerprint, received.crash)
+        val known = evidence[key]
+        if (known != null && (known.isCleared || !received.isCleared)) return
+        if (clock.elapsed() - received.crashedAt >= RETENTION) return
+        if (known == null && evidence.size >= MAX_EVIDENCE && !evictBefore(received.crashedAt)) return
+        evidence.remove(key)
+        evidence[key] = received.copy(crashedAt = known?.crashedAt ?: received.crashedAt)
+        log(received)
+    }
+
+    /** Removes the oldest evidence if it is older than [time], and returns whether it was. */
+    private fun evictBefore(time: Duration): Boolean {
+        val oldest = evidence.entries.minBy { it.value.crashedAt }
+        if (oldest.value.crashedAt >= time) return false
+        evidence.remove(oldest.key)
+        return true
+    }
+
+    private fun removeExpired() {
+        val now = clock.elapsed()
+        evidence.values.removeIf { now - it.crashedAt >= RETENTION }
     }
 
+    private fun log(changed: CrashEvidence) {
+        logger.event(
+            if (changed.isCleared) "crash_cleared" else "target_crashed",
+            "run" to changed.crash,
+            "fingerprint" to changed.fingerprint.value,
+            "crashes" to crashesOf(changed.fingerprint).size,
+            "quarantine_ms" to (remainingQuarantine(changed.fingerprint)?.inWholeMilliseconds ?: 0),
+        )
+    }
+
+    private data class EvidenceKey(
+        val fingerprint: RequestFingerprint,
+        val crash: String,
+    )
+
     private companion object {
         /** The time after which the port of a crashed target is closed. */
         private val PROBE_DELAY = 50.milliseconds
 
-        /** The number of crashes that are sent to gateways that were started after them. */
-        private const val MAX_REPORTS = 24
+        /** The number of crashes, without a run to the end since, from which a request is quarantined. */
+        private const val QUARANTINE_CRASHES = 2
+        private val FIRST_QUARANTINE = 30.seconds
+        private const val MAX_DOUBLINGS = 3
+
+        /** Longer than the longest quarantine, so that the next crash after it still doubles it. */
+        private val RETENTION = 6.minutes
+
+        /** Enough for all requests in flight at several targets that crash together. */
+        private const val MAX_EVIDENCE = 256
         private const val NEWEST_PER_HEARTBEAT = 4
         private const val OLDER_PER_HEARTBEAT = 2
     }
--- /dev/null
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/crash/RequestQuarantineSpec.kt
@@ -0,0 +1,153 @@
+package org.chestnutloom.edge.crash
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldNotBeEmpty
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.chestnutloom.edge.VirtualClock
+import org.chestnutloom.wire.link.PeerAddress
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+private val REQUEST = RequestFingerprint("f")
+
+private fun runOfTarget(name: String) = TargetRun(name, PeerAddress("127.0.0.1", port = 9))
+
+class RequestQuarantineSpec :
+    DescribeSpec({
+        fun TestScope.quarantine() = RequestQuarantine({ true }, VirtualClock(this), backgroundScope)
+
+        suspend fun RequestQuarantine.crash(
+            vararg targets: String,
+            fingerprint: RequestFingerprint = REQUEST,
+        ) {
+            targets.forEach { recordAborted(fingerprint, runOfTarget(it)) }
+            delay(100.milliseconds)
+        }
+
+        fun RequestQuarantine.isQuarantined(): Boolean = remainingQuarantine(REQUEST) != null
+
+        describe("a request in flight at crashes of targets") {
+            it("is quarantined after the second crash, also if several responses report the same one") {
+                runTest {
+                    val quarantine = quarantine()
+                    quarantine.crash("e1", "e1")
+                    quarantine.isQuarantined() shouldBe false
+                    quarantine.crash("e2")
+                    quarantine.isQuarantined() shouldBe true
+                }
+            }
+
+            it("is not suspected if the target still listens") {
+                runTest {
+                    val quarantine = RequestQuarantine({ false }, VirtualClock(this), backgroundScope)
+                    quarantine.crash("e1", "e2")
+                    quarantine.hasCrashes shouldBe false
+                }
+            }
+
+            // Guards against innocent requests that were refused forever after two crashes that others had caused.
+            it("is cleared when a request with its fingerprint runs to its end between or after the crashes") {
+                runTest {
+                    val quarantine = quarantine()
+                    quarantine.crash("e1")
+                    quarantine.recordSurvival(REQUEST)
+                    quarantine.crash("e2")
+                    quarantine.isQuarantined() shouldBe false
+                    quarantine.crash("e3")
+                    quarantine.isQuarantined() shouldBe true
+                    quarantine.recordSurvival(REQUEST)
+                    quarantine.isQuarantined() shouldBe false
+                }
+            }
+
+            it("is quarantined for a limited time, which doubles with each further crash") {
+                runTest {
+                    val quarantine = quarantine()
+                    quarantine.crash("e1", "e2")
+                    delay(29.seconds)
+                    quarantine.isQuarantined() shouldBe true
+                    delay(1.seconds)
+                    quarantine.isQuarantined() shouldBe false
+                    quarantine.crash("e3")
+                    delay(59.seconds)
+                    quarantine.isQuarantined() shouldBe true
+                    delay(1.seconds)
+                    quarantine.isQuarantined() shouldBe false
+                }
+            }
+
+            it("reaches targets once more in the two minutes after the first crash, if it crashes each one") {
+                runTest {
+                    val quarantine = quarantine()
+                    var crashes = 0
+                    repeat(1_200) {
+                        if (!quarantine.isQuarantined()) quarantine.crash("e${crashes++}") else delay(100.milliseconds)
+                    }
+                    crashes - 3 shouldBe 1
+                }
+            }
+        }
+
+        describe("reports between gateways") {
+            it("quarantine a request that crashed targets of different gateways") {
+                runTest {
+                    val gateways = List(2) { quarantine() }
+                    gateways.forEachIndexed { index, gateway -> gateway.crash("e$index") }
+                    gateways[0].merge(gateways[1].nextReports())
+                    gateways[0].isQuarantined() shouldBe true
+                }
+            }
+
+            it("clear a request that ran to its end at another gateway, and older reports do not suspect it again") {
+                runTest {
+                    val gateways = List(2) { quarantine() }
+                    gateways[0].crash("e1", "e2")
+                    val reports = gateways[0].nextReports()
+                    gateways[1].merge(reports)
+                    gateways[1].recordSurvival(REQUEST)
+                    gateways[0].merge(gateways[1].nextReports())
+                    gateways[0].isQuarantined() shouldBe false
+                    listOf(gateways[0], gateways[1]).forEach { it.merge(reports) }
+                    gateways.map { it.isQuarantined() } shouldBe listOf(false, false)
+                }
+            }
+
+            it("keep the time of the crash, so that a quarantine ends at the same time everywhere") {
+                runTest {
+                    val gateways = List(2) { quarantine() }
+                    gateways[0].crash("e1", "e2")
+                    delay(20.seconds)
+                    gateways[1].merge(gateways[0].nextReports())
+                    gateways[1].remainingQuarantine(REQUEST).shouldNotBeNull()
+                    delay(10.seconds)
+                    gateways[1].remainingQuarantine(REQUEST).shouldBeNull()
+                }
+            }
+
+            // Guards against reports that circulate without end, with a log line each.
+            it("end, however many there are") {
+                runTest {
+                    val gateways = List(3) { quarantine() }
+                    repeat(600) { gateways[it % 3].crash("e$it", fingerprint = RequestFingerprint("f$it")) }
+                    gateways.forEach { it.nextReports().shouldNotBeEmpty() }
+                    repeat(4_000) {
+                        delay(100.milliseconds)
+                        gateways.forEach { from ->
+                            val reports = from.nextReports()
+                            gateways.filter { it !== from }.forEach { it.merge(reports) }
+                        }
+                    }
+                    delay(1.minutes)
+                    gateways.forEach { it.nextReports().shouldBeEmpty() }
+                    gateways.forEach { it.hasCrashes shouldBe false }
+                }
+            }
+        }
+    })
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/FleetSocketSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/fleet/FleetSocketSpec.kt
@@ -35,7 +35,15 @@
         sender = stateOf("0"),
         relayed = List(RELAYED_STATES) { stateOf("$it") },
         accountUsage = List(ACCOUNTS) { AccountUsage(ClientAccountId("account-$it"), admitted = 1_000_000) },
-        crashes = List(CRASHES) { CrashReport("fingerprint-of-a-request-$it".repeat(4), "run-of-a-target-$it") },
+        crashes =
+            List(CRASHES) {
+                CrashReport(
+                    "fingerprint-of-a-request-$it".repeat(4),
+                    "run-of-a-target-$it",
+                    ageMs = 300_000,
+                    isCleared = true,
+                )
+            },
     )
 
 class FleetSocketSpec :
