--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EndlessResponseSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EndlessResponseSpec.kt
@@ -48,6 +48,14 @@
         "a body without a length" to { endless(responseHead(it) + "\r\n", FILLER) },
     )
 
+/** Endless bytes in the body of a response to a plain request. */
+private val PLAIN_BODIES =
+    mapOf<String, (ReceivedRequest) -> ScriptedResponse>(
+        "a chunked body" to { endless(chunkedHead(it), chunked(FILLER)) },
+        "a body without a length" to { endless(responseHead(it) + "\r\n", FILLER) },
+        "the trailers of a body" to { endless(chunkedHead(it) + "0\r\n", "X-Filler: ${"x".repeat(64)}\r\n") },
+    )
+
 class EndlessResponseSpec :
     DescribeSpec({
         isolationMode = IsolationMode.InstancePerLeaf
@@ -70,6 +78,19 @@
                 }
             }
 
+            PLAIN_BODIES.forEach { (name, script) ->
+                it("as $name to a plain request is read no faster than the caller reads, and never looks complete") {
+                    val target =
+                        fleet.target("i-1") { if (it.target.endsWith("/1")) script(it) else signedResponse(it, "own") }
+                    val caller = fleet.caller()
+                    val response = caller.sendWithoutReading("GET", "/plain/1", callerTimeoutMs = 1_500)
+                    target.writtenBytes shouldBeLessThan MAX_READ_BYTES
+                    eventually { target.endedByCaller >= 1 }
+                    response().hasLastChunk shouldBe false
+                    caller.send("POST", "/pay/2").body shouldBe "own"
+                }
+            }
+
             BODIES.forEach { (name, script) ->
                 it("as $name gets the connection closed, and the stream does not look complete") {
                     val target =
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RawCaller.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RawCaller.kt
@@ -1,6 +1,7 @@
 package org.chestnutloom.integration.edge
 
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import java.io.IOException
 import java.net.InetAddress
@@ -31,6 +32,23 @@
         return exchange(lines.joinToString("\r\n", postfix = "\r\n\r\n") + body)
     }
 
+    /** Sends a request, waits for [callerTimeoutMs] without reading, and returns how to read what has arrived. */
+    suspend fun sendWithoutReading(
+        method: String,
+        path: String,
+        callerTimeoutMs: Long,
+    ): suspend () -> RawResponse =
+        withContext(Dispatchers.IO) {
+            val socket = Socket(InetAddress.getLoopbackAddress(), port)
+            val head =
+                "$method $path HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nAuthorization: Token key-a\r\n" +
+                    "Chestnutloom-Attempt-Id: attempt-$port-${++requests}\r\n" +
+                    "Chestnutloom-Deadline-Ms: $callerTimeoutMs\r\n\r\n"
+            socket.getOutputStream().write(head.encodeToByteArray())
+            delay(callerTimeoutMs)
+            suspend { withContext(Dispatchers.IO) { socket.use { RawResponse(readAll(it)) } } }
+        }
+
     /** Sends [text] and reads until the connection is closed or reset. */
     suspend fun exchange(text: String): RawResponse =
         withContext(Dispatchers.IO) {
