Show that a stream that was passed on in part is not continued by another target

Report of other operators: a stream broke off, the next runner answered with an error, and callers found the error in the middle of their stream, or the stream ended as if it were complete. It can't happen here: once a byte has been passed on, no other target is tried and the response is aborted.

--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TargetResponseSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TargetResponseSpec.kt
@@ -5,9 +5,11 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.delay
 import org.chestnutloom.fakes.edge.ConnectionAction
+import org.chestnutloom.fakes.edge.ReceivedRequest
 import org.chestnutloom.fakes.edge.ScriptedResponse
 import org.chestnutloom.fakes.edge.responseHead
 import org.chestnutloom.fakes.edge.signedResponse
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
 
 class TargetResponseSpec :
@@ -66,6 +68,34 @@
                 caller.send("POST", "/pay/reset").status shouldBe 502
             }
 
+            // Guards against the error of another target in the middle of a stream that was broken off.
+            it("that is broken off after it was passed on in part is not continued by another target") {
+                val broken: (ReceivedRequest) -> ScriptedResponse = {
+                    val start = responseHead(it) + "Transfer-Encoding: chunked\r\n\r\n"
+                    val part = "x".repeat(400_000)
+                    val chunk = "${part.length.toString(radix = 16)}\r\n$part\r\n"
+                    ScriptedResponse(listOf(start, chunk), ConnectionAction.CLOSE, pause = 20.milliseconds)
+                }
+                val error: (ReceivedRequest) -> ScriptedResponse = { signedResponse(it, "failure", "500 Error") }
+                val received = AtomicInteger()
+                for (service in listOf(EdgeFleet.PLAIN, EdgeFleet.LLM)) {
+                    repeat(2) { index ->
+                        fleet.target("$service-$index", service) {
+                            if (received.getAndIncrement() % 2 == 0) broken(it) else error(it)
+                        }
+                    }
+                }
+                val caller = fleet.caller()
+                for (path in listOf("/plain/1", "/chat/1")) {
+                    val response = caller.send("POST", path)
+                    response.status shouldBe 200
+                    response.text.contains("failure") shouldBe false
+                    response.text.split("HTTP/1.1").size shouldBe 2
+                    response.hasLastChunk shouldBe false
+                    received.getAndSet(0) shouldBe 1
+                }
+            }
+
             it("that is closed before its length is reached has an unknown outcome") {
                 fleet.target("i-1") {
                     ScriptedResponse(
