--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnFailure.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnFailure.kt
@@ -7,7 +7,7 @@
     /** The turn does not exist or belongs to another client account. */
     public data object NotFound : TurnFailure
 
-    /** The store could not be read, and no reachable gateway has the turn in its cache. */
+    /** The turn could not be read from the store, and no reachable gateway has it in its cache. */
     public data class StoreUnavailable(
         public val cause: StoreFailure,
     ) : TurnFailure
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
@@ -126,7 +126,7 @@
             .decode(bytes)
             .onLeft { logger.warnEvent("turn_malformed", "turn" to turn, "detail" to it.detail) }
             .onRight(recent::put)
-            .mapLeft { TurnFailure.NotFound }
+            .mapLeft { TurnFailure.StoreUnavailable(StoreFailure.Malformed("the turn is malformed: ${it.detail}")) }
 
     private companion object {
         /** Holds the turns that callers continue within a few seconds at one gateway. */
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/TurnDurabilitySpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/TurnDurabilitySpec.kt
@@ -16,6 +16,9 @@
 import kotlinx.coroutines.test.runTest
 import org.chestnutloom.edge.VirtualClock
 import org.chestnutloom.edge.store.InMemoryRowStore
+import org.chestnutloom.edge.store.RowChange
+import org.chestnutloom.edge.store.RowKey
+import org.chestnutloom.edge.store.RowPut
 import org.chestnutloom.id.CallId
 import org.chestnutloom.id.TargetId
 import kotlin.time.Duration
@@ -185,6 +188,19 @@
             }
         }
 
+        describe("a turn whose rows cannot be decoded") {
+            // Guards against a turn that was answered whole and is refused with 404 since it cannot be read.
+            it("is reported as unavailable, not as missing") {
+                runTest {
+                    val fleet = TurnFleet(this, size = 1)
+                    val key = RowKey("turns", "t", "0000")
+                    fleet.store.change(RowChange(puts = listOf(RowPut(key, "unreadable".encodeToByteArray()))))
+                    val failure = fleet.turnsOf("g0").chain(CallId("t"), account = null).leftOrNull()
+                    failure.shouldBeInstanceOf<TurnFailure.StoreUnavailable>()
+                }
+            }
+        }
+
         describe("a turn that the store does not hold") {
             it("is reported as not found") {
                 runTest {
