--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
@@ -203,7 +203,8 @@
         logger.warnEvent("budget_trim_failed", "program" to program, "cause" to failure.cause)
     }
 
-    private fun contended(): Refusal = storeUnavailable("The budget is being reserved by another gateway.")
+    private fun contended(): Refusal =
+        storeUnavailable("The budget is being reserved by another gateway.").copy(retryAfterMs = CONTENDED_RETRY_MS)
 
     private fun keyOf(program: ProgramId): RowKey = RowKey(TABLE_NAME, program.value, ROW_NAME)
 
@@ -215,6 +216,9 @@
         private const val MAX_PROGRAMS = 20_000
         private const val MAX_ATTEMPTS = 4
 
+        /** Another gateway writes its claim within this time. */
+        private const val CONTENDED_RETRY_MS = 500L
+
         /** A claim exceeds the current need by the budget divided by this number. */
         private const val PREALLOCATION_DIVISOR = 3L
     }
