Bound the waits of the new tests, and name what cannot be read

On the code before, the new cases of TurnSpec and RepeatedInputSpec waited without end instead of failing. The refusal of a turn that cannot be read no longer says that the store is unavailable, since the turn may be malformed.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
@@ -68,14 +68,7 @@
     ) {
         when (result) {
             is AttemptResult.Responded ->
-                if (result.isComplete) {
-                    recordSurvival(
-                        call,
-                        target,
-                    )
-                } else {
-                    recordAborted(call, target)
-                }
+                if (result.isComplete) recordSurvival(call, target) else recordAborted(call, target)
             is AttemptResult.Lost -> {
                 target.health.recordFailure(clock.elapsed())
                 recordAborted(call, target)
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -206,8 +206,7 @@
     private fun refusalOf(failure: TurnFailure): Refusal =
         when (failure) {
             is TurnFailure.NotFound -> Refusal(RefusalCode.NOT_FOUND, Execution.NOT_RUN, "The turn does not exist.")
-            is TurnFailure.StoreUnavailable ->
-                storeUnavailable("The turn cannot be read because the store is unavailable.")
+            is TurnFailure.StoreUnavailable -> storeUnavailable("The turn cannot be read from the store.")
         }
 
     private suspend fun Raise<Refusal>.reserveTokens(
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RepeatedInputSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RepeatedInputSpec.kt
@@ -5,10 +5,12 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import org.chestnutloom.fakes.edge.ScriptedResponse
 import org.chestnutloom.fakes.edge.ScriptedTarget
 import org.chestnutloom.fakes.edge.streamResponse
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class RepeatedInputSpec :
     DescribeSpec({
@@ -45,7 +47,7 @@
                     delay(200.milliseconds)
                     fleet.store.remove("servers", "e-$crash")
                     fleet.putTarget("e-0", EdgeFleet.LLM, sound.port)
-                    eventually { caller.send("POST", "/chat/1", "yes").status != 503 }
+                    withTimeout(20.seconds) { eventually { caller.send("POST", "/chat/1", "yes").status != 503 } }
                 }
                 caller.send("POST", "/chat/1", "yes").hasLastChunk shouldBe true
             }
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TurnSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/TurnSpec.kt
@@ -138,7 +138,7 @@
                 caller.turn("t1", "b", previous = "t0", program = "p").hasLastChunk shouldBe false
                 fleet.store.fault = StoreFault.NONE
                 val other = RawCaller(fleet.gateway("g2"))
-                eventually { other.turn("t2", "c", previous = "t1").status == 404 }
+                withTimeout(20.seconds) { eventually { other.turn("t2", "c", previous = "t1").status == 404 } }
             }
         }
 
