Try another port when a test's port is taken for UDP

The fixture took a free TCP port and bound the UDP port of the same number, which a process beside it can hold. It takes the next free one now; no check has changed.

--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
@@ -17,6 +17,7 @@
 import org.chestnutloom.id.Incarnation
 import org.chestnutloom.time.systemClock
 import org.chestnutloom.wire.link.PeerAddress
+import java.net.BindException
 import java.net.DatagramSocket
 import java.net.ServerSocket
 import kotlin.time.Duration
@@ -132,10 +133,15 @@
         )
 
     /** Returns a port that is free for both TCP and UDP. */
-    private fun freePort(): Int =
-        ServerSocket(0).use { socket ->
-            DatagramSocket(socket.localPort).use { it.localPort }
+    private fun freePort(): Int {
+        while (true) {
+            try {
+                return ServerSocket(0).use { socket -> DatagramSocket(socket.localPort).use { it.localPort } }
+            } catch (_: BindException) {
+                // Another process uses this port for UDP; the next one is tried.
+            }
         }
+    }
 
     companion object {
         const val PLAIN = EdgeEnvironment.PLAIN
