--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
@@ -20,6 +20,7 @@
 import java.net.BindException
 import java.net.DatagramSocket
 import java.net.ServerSocket
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -135,15 +136,20 @@
     /** Returns a port that is free for both TCP and UDP. */
     private fun freePort(): Int {
         while (true) {
+            val port = Random.nextInt(PORTS.first, PORTS.last)
             try {
-                return ServerSocket(0).use { socket -> DatagramSocket(socket.localPort).use { it.localPort } }
+                ServerSocket(port).use { DatagramSocket(port).close() }
+                return port
             } catch (_: BindException) {
-                // Another process uses this port for UDP; the next one is tried.
+                // Another process uses this port; the next one is tried.
             }
         }
     }
 
     companion object {
+        /** Below the ports that the system assigns to connections, so that none takes a port before its gateway does. */
+        private val PORTS = 20_000..32_000
+
         const val PLAIN = EdgeEnvironment.PLAIN
         const val LLM = EdgeEnvironment.LLM
     }
