Ignore crash reports whose age cannot be true

What could happen: a malformed datagram with a negative age of a crash was kept as a crash in the future. Fix: a report counts only with an age from zero to the time for which reports are kept.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/RequestQuarantine.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/RequestQuarantine.kt
@@ -70,10 +70,10 @@
         crashesOf(fingerprint).forEach { put(it.copy(isCleared = true)) }
     }
 
-    /** Merges [reports] received from another gateway. */
+    /** Merges [reports] received from another gateway; ignores those whose age cannot be true or has ended them. */
     fun merge(reports: List<CrashReport>) {
         val now = clock.elapsed()
-        reports.forEach { report ->
+        reports.filter { it.ageMs in 0 until RETENTION.inWholeMilliseconds }.forEach { report ->
             val fingerprint = RequestFingerprint(report.fingerprint)
             val crashedAt = now - report.ageMs.milliseconds
             put(CrashEvidence(fingerprint, report.crash, crashedAt, report.isCleared))
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/crash/RequestQuarantineSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/crash/RequestQuarantineSpec.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.chestnutloom.edge.VirtualClock
+import org.chestnutloom.edge.fleet.CrashReport
 import org.chestnutloom.wire.link.PeerAddress
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -131,6 +132,17 @@
                 }
             }
 
+            // Guards against a malformed datagram whose report never ends and quarantines a request forever.
+            it("are ignored if their age is negative or beyond the longest one") {
+                runTest {
+                    val gateway = quarantine()
+                    listOf(Long.MIN_VALUE, -1, 360_000, Long.MAX_VALUE).forEach { ageMs ->
+                        gateway.merge(List(2) { CrashReport(REQUEST.value, "e$it", ageMs, isCleared = false) })
+                    }
+                    gateway.hasCrashes shouldBe false
+                }
+            }
+
             // Guards against reports that circulate without end, with a log line each.
             it("end, however many there are") {
                 runTest {
