Refuse a turn whose program's row cannot be decoded instead of taking it for unclaimed

What could happen: a budget's row that could not be decoded counted as a row without claims, and was overwritten, so that tokens that other gateways had claimed could be spent twice. Fix: the turn is refused as not run, and the row is left as it is. BudgetAllocatorSpec: the new case fails on the code before (run) and passes, as do the other eleven. Until the row is mended its program gets no turn: that is told to its callers, and budget_claim_failed in the log names the row's program and why.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
@@ -23,6 +23,7 @@
 import org.chestnutloom.id.GatewayId
 import org.chestnutloom.id.Incarnation
 import org.chestnutloom.id.ProgramId
+import org.chestnutloom.store.StoreFailure
 
 private val logger = KotlinLogging.logger {}
 
@@ -69,8 +70,10 @@
                 // Lowered before the write, so that no turn can reserve tokens that are being released.
                 budget.claimedTokens = needed
                 val failure = write(program, budget, needed)
-                if (failure is ChangeFailure.Conflict) applyRow(program, budget, failure.current)
                 if (failure is ChangeFailure.Failed) return logTrimFailure(program, failure)
+                if (failure is ChangeFailure.Conflict) {
+                    applyRow(program, budget, failure.current)?.let { return logTrimFailure(program, it) }
+                }
             }
         }
     }
@@ -120,7 +123,9 @@
                     write(program, budget, claimSize(needed, free, budgetTokens))
                 }
             if (failure is ChangeFailure.Failed) return claimFailed(program, failure).left()
-            if (failure is ChangeFailure.Conflict) applyRow(program, budget, failure.current)
+            if (failure is ChangeFailure.Conflict) {
+                applyRow(program, budget, failure.current)?.let { return claimFailed(program, it).left() }
+            }
         }
         return contended().left()
     }
@@ -137,8 +142,7 @@
         budget: ProgramBudget,
     ): ChangeFailure? {
         val snapshot = store.read(TABLE_NAME, program.value).getOrElse { return ChangeFailure.Failed(it) }
-        applyRow(program, budget, snapshot.rows)
-        return null
+        return applyRow(program, budget, snapshot.rows)
     }
 
     /** Writes the claim, and returns the failure, or null on success. */
@@ -161,22 +165,30 @@
         return null
     }
 
+    /** Applies the row among [current], and returns the failure if it cannot be decoded, or null on success. */
     private fun applyRow(
         program: ProgramId,
         budget: ProgramBudget,
         current: List<StoredRow>,
-    ) {
+    ): ChangeFailure.Failed? {
         val row = current.firstOrNull { it.key == keyOf(program) }
-        val value = row?.value ?: return budget.updateOtherClaims(emptyList(), version = 0)
+        val value = row?.value
+        if (value == null) {
+            budget.updateOtherClaims(emptyList(), version = 0)
+            return null
+        }
         val claims =
             codec
                 .decode(value)
-                .onLeft { logger.warnEvent("budget_malformed", "program" to program, "detail" to it.detail) }
-                .map { it.claims }
-                .getOrElse { emptyList() }
+                .getOrElse {
+                    return ChangeFailure.Failed(
+                        StoreFailure.Malformed("the budget is malformed: ${it.detail}"),
+                    )
+                }.claims
         val (own, others) = claims.partition { it.gateway == gateway && it.incarnation == incarnation }
         budget.updateOtherClaims(others, row.version)
         budget.updateOwnClaim(own.sumOf { it.tokens })
+        return null
     }
 
     private fun exhausted(
@@ -193,7 +205,7 @@
         failure: ChangeFailure.Failed,
     ): Refusal {
         logger.warnEvent("budget_claim_failed", "program" to program, "cause" to failure.cause)
-        return storeUnavailable("The budget cannot be reserved because the store is unavailable.")
+        return storeUnavailable("The budget cannot be reserved in the store.")
     }
 
     private fun logTrimFailure(
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetAllocatorSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetAllocatorSpec.kt
@@ -5,6 +5,9 @@
 import io.kotest.matchers.shouldBe
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.edge.store.InMemoryRowStore
+import org.chestnutloom.edge.store.RowChange
+import org.chestnutloom.edge.store.RowKey
+import org.chestnutloom.edge.store.RowPut
 import org.chestnutloom.id.GatewayId
 import org.chestnutloom.id.Incarnation
 import org.chestnutloom.id.ProgramId
@@ -99,6 +102,19 @@
             }
         }
 
+        describe("a program whose row cannot be decoded") {
+            // Guards against claims that are taken for missing, so that their tokens are spent twice.
+            it("is refused as not run, and the row is left as it is") {
+                val key = RowKey("programs", PROGRAM.value, "budget")
+                val unreadable = "unreadable".encodeToByteArray()
+                store.change(RowChange(puts = listOf(RowPut(key, unreadable))))
+                val allocator = gateways.start("a")
+                repeat(2) { allocator.reserveTurn().leftOrNull()?.code shouldBe RefusalCode.STORE_UNAVAILABLE }
+                val rows = store.read(key.table, key.partition).getOrNull()?.rows
+                rows?.single()?.value shouldBe unreadable
+            }
+        }
+
         describe("a program on several gateways") {
             it("can use the whole budget when some of them hold unneeded claims") {
                 val a = gateways.start("a")
