Log why an attempt at a target was lost

A request that is retried left no line that says why the attempt before failed, so that an invalid response could not be told from a closed connection. attempt_lost names the call, the target and the cause.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
@@ -4,11 +4,13 @@
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.chestnutloom.call.Execution
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.common.log.warnEvent
 import org.chestnutloom.edge.config.RouteKind
 import org.chestnutloom.edge.crash.RequestQuarantine
 import org.chestnutloom.edge.crash.runOf
@@ -19,6 +21,8 @@
 import org.chestnutloom.time.Clock
 import kotlin.time.Duration
 
+private val logger = KotlinLogging.logger {}
+
 /** Sends a call to targets in turn until one responds or no further attempt is allowed. */
 internal class CallDispatcher(
     private val scheduler: TargetScheduler,
@@ -70,6 +74,7 @@
             is AttemptResult.Responded ->
                 if (result.isComplete) recordSurvival(call, target) else recordAborted(call, target)
             is AttemptResult.Lost -> {
+                logLost(call, target, result.cause)
                 target.health.recordFailure(clock.elapsed())
                 recordAborted(call, target)
             }
@@ -78,6 +83,14 @@
         }
     }
 
+    private fun logLost(
+        call: RoutedCall,
+        target: Target,
+        cause: String,
+    ) {
+        logger.warnEvent("attempt_lost", "call" to call.id, "target" to target.entry.id, "cause" to cause)
+    }
+
     private fun recordSurvival(
         call: RoutedCall,
         target: Target,
