Close a target's connection on bytes that belong to no exchange

What callers saw: a success where the target had answered 500, and payments that ran twice. A target that stutters sends the beginning of a second response, such as "HTTP/1.1 200 OK" and a part of a header, and nothing more. Cause: HttpConnection closed on data outside an exchange only once the decoder had made a message of it. An incomplete head stayed in the decoder of a pooled connection, and the next response continued it: the status line of the one, the attempt id and signature of the other. Bytes behind the end of a response in the same read stayed there as well. Fix: a connection that receives any bytes while no exchange is active closes, and so does one whose decoder has unread bytes at the end of a response. HttpClientCodec cannot tell the latter; a response decoder of our own can, with the request encoder of Netty. It is told which request is a HEAD request. extra_bytes is logged with the peer and the number of bytes.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -1,10 +1,12 @@
 package org.chestnutloom.edge.http
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.ByteBufUtil
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
@@ -12,16 +14,21 @@
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ReceiveChannel
+import org.chestnutloom.common.log.warnEvent
 import org.chestnutloom.time.Clock
 import kotlin.time.Duration
 
+private val logger = KotlinLogging.logger {}
+
 /**
  * A client connection with at most one exchange at a time; confined to the event loop.
  *
- * Data received while no exchange is active closes the connection, so that it cannot be taken for a later response.
+ * Bytes received while no exchange is active, or together with the end of a response, close the connection, whether or
+ * not they are a message, so that they cannot be taken for a part of a later response.
  */
 public class HttpConnection internal constructor(
     private val clock: Clock,
+    private val decoder: ResponseDecoder,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private var context: ChannelHandlerContext? = null
     private var exchange: Exchange? = null
@@ -58,6 +65,7 @@
     ): ReceiveChannel<ResponsePart> {
         val started = Exchange(matches)
         exchange = started
+        decoder.isHeadRequest = request.method() == HttpMethod.HEAD
         isRequestSent = false
         val channel = context?.channel()
         if (channel == null || !channel.isActive) {
@@ -78,10 +86,10 @@
 
     /**
      * Records that the server sent [bytes], and returns whether they may be decoded. Fails the exchange when too many
-     * have arrived without the head of its response.
+     * have arrived without the head of its response, and closes the connection when no exchange is active.
      */
     internal fun acceptsBytes(bytes: Int): Boolean {
-        val active = exchange ?: return true
+        val active = exchange ?: return false.also { closeAfterExtraBytes(bytes) }
         if (active.hasHead) return true
         active.bytesBeforeHead += bytes
         if (active.bytesBeforeHead <= MAX_BYTES_BEFORE_HEAD) return true
@@ -150,6 +158,12 @@
         completedExchanges++
         active.parts.trySend(ResponsePart.End(active.isDelimited))
         active.parts.close()
+        if (decoder.unreadBytes > 0) closeAfterExtraBytes(decoder.unreadBytes)
+    }
+
+    private fun closeAfterExtraBytes(bytes: Int) {
+        if (isUsable) logger.warnEvent("extra_bytes", "peer" to context?.channel()?.remoteAddress(), "bytes" to bytes)
+        close()
     }
 
     override fun exceptionCaught(
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
@@ -10,7 +10,8 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequestEncoder
 import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.suspendCancellableCoroutine
 import org.chestnutloom.time.Clock
@@ -41,13 +42,20 @@
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
 
+    private val decoderConfig =
+        HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_LINE_BYTES)
+            .setMaxHeaderSize(MAX_HEADER_BYTES)
+            .setMaxChunkSize(MAX_CHUNK_BYTES)
+
     /** Opens a connection to [address]. */
     public suspend fun connect(address: PeerAddress): Either<ConnectFailure, HttpConnection> {
-        val connection = HttpConnection(clock)
+        val decoder = ResponseDecoder(decoderConfig)
+        val connection = HttpConnection(clock, decoder)
         val attempt =
             bootstrap
                 .clone()
-                .handler(initializer(connection))
+                .handler(initializer(connection, decoder))
                 .connect(InetSocketAddress(address.host, address.port))
         val cause = attempt.awaitFailure()
         return if (cause == null) connection.right() else failure(address, cause).left()
@@ -57,12 +65,16 @@
     public suspend fun isConnectionRefused(address: PeerAddress): Boolean =
         connect(address).fold({ it.wasRefused }, { connection -> false.also { connection.close() } })
 
-    private fun initializer(connection: HttpConnection): ChannelInitializer<SocketChannel> =
+    private fun initializer(
+        connection: HttpConnection,
+        decoder: ResponseDecoder,
+    ): ChannelInitializer<SocketChannel> =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
                 channel.pipeline().addLast(
                     ReceivedBytesHandler(connection),
-                    HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
+                    decoder,
+                    HttpRequestEncoder(),
                     connection,
                 )
             }
