Refuse response heads that mix two responses

What callers saw: a success where the target had answered 500, when the incomplete beginning of a late response arrives just ahead of the next one, within its exchange, so that the connection cannot be closed in time; and heads with two attempt ids or signatures, of which the first counted. Cause: Netty accepts a status line within a reason phrase or a header's value, lower-case and unknown versions of the protocol, status numbers such as 0200, +200 and 20, and any transfer coding; nothing looked at repeated headers. A switch of protocols made the decoder stop, so that the request waited until its deadline. Fix: ResponseHeadValidator checks the status line and each header as it is decoded, trailers included, and names the reason. A refused head loses the attempt with an unknown outcome; it never counts as not run. The platform's codec names the headers that may occur once.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -82,7 +82,7 @@
     private val metrics: MeterRegistry,
 ) : Node {
     private val loop = EdgeLoop()
-    private val connector = HttpConnector(loop, clock, CONNECT_TIMEOUT)
+    private val connector = HttpConnector(loop, clock, CONNECT_TIMEOUT, adapter.callCodec.uniqueResponseHeaders)
     private val storeHealth = StoreHealth(clock)
     private val ownStore =
         HealthTrackingRowStore(HedgedRowStore(adapter.rowStore(poolOf(settings.storeAddress))), storeHealth)
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallCodec.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallCodec.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import kotlinx.collections.immutable.ImmutableSet
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.edge.http.CallerRequest
 import org.chestnutloom.edge.target.TargetEntry
@@ -11,6 +12,9 @@
 
 /** Translates between the platform's HTTP headers and calls. */
 public interface CallCodec {
+    /** Names of the headers that a target's response has at most once. */
+    public val uniqueResponseHeaders: ImmutableSet<String>
+
     /** Parses the headers of [request]. */
     public fun head(request: CallerRequest): CallHead
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -114,11 +114,15 @@
         val active = exchange
         when {
             active == null -> close()
-            message.decoderResult().isFailure -> failAndClose("server sent invalid HTTP")
+            message.decoderResult().isFailure -> failInvalid(message.decoderResult().cause())
             else -> read(active, message)
         }
     }
 
+    private fun failInvalid(cause: Throwable) {
+        failAndClose("server sent invalid HTTP: ${cause.message}")
+    }
+
     private fun read(
         active: Exchange,
         message: HttpObject,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpRequestEncoder
 import jdk.net.ExtendedSocketOptions
+import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.coroutines.suspendCancellableCoroutine
 import org.chestnutloom.time.Clock
 import org.chestnutloom.wire.link.PeerAddress
@@ -25,12 +27,15 @@
  * Opens HTTP client connections.
  *
  * @property connectTimeout maximum time to establish a TCP connection
+ * @param uniqueHeaders names of the headers, besides those of HTTP itself, that a response has at most once
  */
 public class HttpConnector(
     loop: EdgeLoop,
     private val clock: Clock,
     private val connectTimeout: Duration,
+    uniqueHeaders: ImmutableSet<String> = persistentSetOf(),
 ) {
+    private val validator = ResponseHeadValidator(uniqueHeaders)
     private val bootstrap =
         Bootstrap()
             .group(loop.group)
@@ -47,10 +52,12 @@
             .setMaxInitialLineLength(MAX_LINE_BYTES)
             .setMaxHeaderSize(MAX_HEADER_BYTES)
             .setMaxChunkSize(MAX_CHUNK_BYTES)
+            .setHeadersFactory(ResponseHeadersFactory(validator))
+            .setTrailersFactory(ResponseHeadersFactory(validator))
 
     /** Opens a connection to [address]. */
     public suspend fun connect(address: PeerAddress): Either<ConnectFailure, HttpConnection> {
-        val decoder = ResponseDecoder(decoderConfig)
+        val decoder = ResponseDecoder(decoderConfig, validator)
         val connection = HttpConnection(clock, decoder)
         val attempt =
             bootstrap
