Fail an exchange at once on a late response whose end is unknown

What callers saw: a request that waited until its deadline and got 504, as a late response to another request, without a length or chunks, was skipped together with the true response behind it, which was taken for its body. Fix: a response that is skipped must say where it ends, or the exchange fails. A response that has no body by its status or method does say so; such a connection can now be used again as well.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -142,9 +142,12 @@
         val isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         active.isSkipping = isInterim || !active.matches(response)
         if (isInterim) return
-        if (active.isSkipping || !HttpUtil.isKeepAlive(response)) isUsable = false
-        if (active.isSkipping) return
         active.isDelimited = isDelimited(response)
+        if (active.isSkipping || !HttpUtil.isKeepAlive(response)) isUsable = false
+        if (active.isSkipping) {
+            if (!active.isDelimited) failAndClose("server sent a response to another request whose end is unknown")
+            return
+        }
         if (!active.isDelimited) isUsable = false
         keepAliveTimeout = keepAliveTimeoutOf(response)
         active.hasHead = true
@@ -152,7 +155,9 @@
     }
 
     private fun isDelimited(response: HttpResponse): Boolean =
-        HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+        decoder.hasNoBody(response) ||
+            HttpUtil.isContentLengthSet(response) ||
+            HttpUtil.isTransferEncodingChunked(response)
 
     private fun readEnd(active: Exchange) {
         if (active.isSkipping) return
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponseDecoder.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponseDecoder.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 
 /** Decodes the responses on one connection, checks their heads, and tells whether bytes follow them. */
@@ -16,6 +17,9 @@
     val unreadBytes: Int
         get() = actualReadableBytes()
 
+    /** Returns whether [response] has no body, whatever its headers say. */
+    fun hasNoBody(response: HttpResponse): Boolean = isContentAlwaysEmpty(response)
+
     override fun createMessage(initialLine: Array<String>): HttpMessage {
         val (protocol, status, reasonPhrase) = initialLine
         validator.checkStatusLine(protocol, status, reasonPhrase)?.let { throw InvalidResponseException(it) }
