Take a response without an id only as the first one on its connection

What callers saw: 200 of a response without an id where the target answered 500. A response without an id was accepted on a connection that had completed no exchange, also after a response to another request had been skipped on it. Fix: it is accepted only if no response came before on the connection. The test in StutteredResponseSpec failed before with 200 for 500.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
@@ -54,7 +54,7 @@
     /**
      * Returns whether [response] may belong to [call] rather than to an earlier request on the connection.
      *
-     * A response without a call id is accepted only on a connection that served no request before.
+     * A response without a call id is accepted only as the first one on its connection.
      */
     private fun isResponseTo(
         call: RoutedCall,
@@ -62,7 +62,7 @@
         response: HttpResponse,
     ): Boolean {
         val callId = codec.responseCallId(response)
-        val isMatch = if (callId == null) connection.completedExchanges == 0 else callId == call.id
+        val isMatch = if (callId == null) !connection.hasResponded else callId == call.id
         if (!isMatch) logUnexpectedResponse(call, callId)
         return isMatch
     }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -46,6 +46,10 @@
     internal var completedExchanges: Int = 0
         private set
 
+    /** Whether the server has sent the head of a response, other than an interim one, to any request. */
+    internal var hasResponded: Boolean = false
+        private set
+
     /** The idle timeout in the server's `Keep-Alive` header, or null without one. */
     internal var keepAliveTimeout: Duration? = null
         private set
@@ -142,6 +146,7 @@
         val isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         active.isSkipping = isInterim || !active.matches(response)
         if (isInterim) return
+        hasResponded = true
         active.isDelimited = isDelimited(response)
         if (active.isSkipping || !HttpUtil.isKeepAlive(response)) isUsable = false
         if (active.isSkipping) {
