Do not run requests behind the last response on a caller's connection

What callers saw: a request that was sent behind one with "Connection: close" ran, and was answered behind the response that announced the end of the connection. It happens while that response is not completely written, as the connection closes only then; a caller that reads slowly is enough. The same holds for a gateway that shuts down. Fix: once a response has announced the end of the connection, requests behind it are dropped and no more are read.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
@@ -43,6 +43,9 @@
     private var isHeadPending = false
     private var isRejecting = false
 
+    /** Whether the last response on this connection was sent, so that requests behind it are not read. */
+    private var isClosing = false
+
     /** The status of a rejection that is sent after the responses to earlier requests. */
     private var pendingRejection: HttpResponseStatus? = null
     private var current: IngressExchange? = null
@@ -66,7 +69,7 @@
 
     /** Starts the header timeout when the first bytes of a request arrive, even if they decode to nothing yet. */
     fun onBytesReceived() {
-        if (!isIdle || isHeadPending || isRejecting) return
+        if (!isIdle || isHeadPending || isRejecting || isClosing) return
         isHeadPending = true
         timeoutJob?.cancel()
         timeoutJob =
@@ -98,7 +101,7 @@
         ctx: ChannelHandlerContext,
         message: HttpObject,
     ) {
-        if (isRejecting) return
+        if (isRejecting || isClosing) return
         if (message.decoderResult().isFailure) return reject(statusOf(message.decoderResult().cause()))
         if (message is HttpRequest) readHead(message)
         if (message is HttpContent) readBody(message)
@@ -164,12 +167,22 @@
         !request.headers.containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)
 
     private fun onExchangeEnded() {
+        isClosing = current?.isLastOnConnection == true
         current = null
         currentJob = null
         if (!context.channel().isActive) return
+        if (isClosing) return discardPending()
         if (registry.isShuttingDown && isIdle) context.close() else handleNext()
     }
 
+    /** Drops the requests that the caller sent behind the last one, which it may send again on another connection. */
+    private fun discardPending() {
+        pending.clear()
+        pendingRejection = null
+        head = null
+        startIdleTimeout()
+    }
+
     private fun startIdleTimeout() {
         timeoutJob?.cancel()
         timeoutJob =
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressExchange.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressExchange.kt
@@ -25,7 +25,10 @@
 ) : CallerExchange {
     private var writabilityChange = CompletableDeferred<Unit>()
     private var isEnded = false
-    private var isLastOnConnection = false
+
+    /** Whether the caller was told that the connection is closed after this response. */
+    var isLastOnConnection: Boolean = false
+        private set
 
     override var isStarted: Boolean = false
         private set
