--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ConnectionAction.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ConnectionAction.kt
@@ -10,4 +10,7 @@
 
     /** Closes the connection with a TCP reset. */
     RESET,
+
+    /** Stops listening, then closes the connection gracefully, as when the process is killed. */
+    CRASH,
 }
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedTarget.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedTarget.kt
@@ -7,6 +7,7 @@
 import io.ktor.utils.io.readFully
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
@@ -14,6 +15,7 @@
 import org.chestnutloom.fakes.StandIn
 import java.io.IOException
 import java.io.OutputStream
+import java.net.BindException
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -26,7 +28,12 @@
     private val script: (ReceivedRequest) -> ScriptedResponse,
 ) : StandIn {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+
+    @Volatile
     private var serverSocket: ServerSocket? = null
+
+    @Volatile
+    private var accepting: Job? = null
     private val openSockets = CopyOnWriteArrayList<Socket>()
 
     /** The requests that were read completely, in order of arrival. */
@@ -48,13 +55,36 @@
     public var endedByCaller: Int = 0
         private set
 
-    override val port: Int
-        get() = checkNotNull(serverSocket).localPort
+    override var port: Int = 0
+        private set
 
     override suspend fun start() {
-        val socket = ServerSocket(0, BACKLOG_CONNECTIONS, InetAddress.getLoopbackAddress())
+        while (true) {
+            try {
+                return listen(PORTS.random())
+            } catch (_: BindException) {
+                // Another process uses this port; the next one is tried.
+            }
+        }
+    }
+
+    /** Listens on the same port again after [ConnectionAction.CRASH]; without effect while the target listens. */
+    @Synchronized
+    public fun listenAgain() {
+        if (serverSocket?.isClosed == true) listen(port)
+    }
+
+    private fun listen(onPort: Int) {
+        val socket = ServerSocket(onPort, BACKLOG_CONNECTIONS, InetAddress.getLoopbackAddress())
+        port = onPort
         serverSocket = socket
-        scope.launch { accept(socket) }
+        accepting = scope.launch { accept(socket) }
+    }
+
+    /** Returns when connections to the port are refused, which is later than the server socket is closed. */
+    private suspend fun stopListening() {
+        serverSocket?.close()
+        accepting?.join()
     }
 
     override suspend fun stop() {
@@ -69,7 +99,7 @@
                 try {
                     server.accept()
                 } catch (_: IOException) {
-                    // stop() closed the server socket.
+                    // The server socket was closed by stop() or ConnectionAction.CRASH.
                     return
                 }
             connections++
@@ -122,6 +152,7 @@
         response.chunks.forEach { write(it.encodeToByteArray(), output, response.pause) }
         if (response.isEndless) writeUntilClosed(response.chunks.last().encodeToByteArray(), output, response.pause)
         if (response.connectionAction == ConnectionAction.RESET) socket.setSoLinger(true, 0)
+        if (response.connectionAction == ConnectionAction.CRASH) stopListening()
         return response.connectionAction == ConnectionAction.KEEP_ALIVE
     }
 
@@ -151,5 +182,8 @@
 
     private companion object {
         private const val BACKLOG_CONNECTIONS = 64
+
+        /** Below the ports that the system assigns to connections, so that none takes the port of a crashed target. */
+        private val PORTS = 20_000..32_000
     }
 }
