Log how each response to a caller ended, and why it counted as complete

Lines of answer_broken told the cause, but neither the program nor a stream that was still running at its caller's deadline. The request line has `ending` (what the caller's bytes say: length, last_chunk, aborted, none) and `evidence` (why the target's response counted as complete), and the cause in `detail` when the response was broken off; answer_broken has the program and is written for every response that is broken off. `call` is the caller's attempt id in both. Existing names of fields stay, and nothing but the logs changes.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -60,11 +60,12 @@
         try {
             either { serve(request, exchange, context) }
                 .onLeft { refuse(it, exchange, context) }
-                .onRight { isComplete -> context.outcome = if (isComplete) "answered" else "broken_off" }
+                .onRight { isComplete -> recordAnswer(isComplete, context) }
         } catch (e: CancellationException) {
             context.outcome = "caller_left"
             throw e
         } finally {
+            context.ending = exchange.ending
             context.call?.reservation?.complete(usedTokens = 0)
             refundUnusedQuota(context)
             releaseUnstartedProgram(context)
@@ -96,6 +97,16 @@
         return response.isComplete && completeTurn(call, response.turn)
     }
 
+    private fun recordAnswer(
+        isComplete: Boolean,
+        context: RequestLogContext,
+    ) {
+        context.outcome = if (isComplete) "answered" else "broken_off"
+        if (isComplete) return
+        val end = context.call?.bodyEnd
+        context.detail = if (end is BodyEnd.Broken) end.cause else "turn was not saved in time"
+    }
+
     /** Ends the response to a turn once [turn] is durable; returns false if that fails while the caller waits. */
     private suspend fun completeTurn(
         call: RoutedCall,
@@ -267,6 +278,8 @@
             "status" to context.status,
             "outcome" to context.outcome,
             "detail" to context.detail,
+            "ending" to context.ending.name.lowercase(),
+            "evidence" to (context.evidence?.name?.lowercase() ?: "none"),
             "took_ms" to (clock.elapsed() - context.startedAt).inWholeMilliseconds,
         )
     }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RequestLogContext.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RequestLogContext.kt
@@ -2,6 +2,7 @@
 
 import org.chestnutloom.edge.config.AccountSettings
 import org.chestnutloom.edge.config.Route
+import org.chestnutloom.edge.http.ResponseEnding
 import org.chestnutloom.edge.quota.QuotaGrant
 import kotlin.time.Duration
 
@@ -21,6 +22,13 @@
     var outcome: String = "unfinished"
     var detail: String = ""
 
+    /** How the response to the caller ended. */
+    var ending: ResponseEnding = ResponseEnding.NONE
+
+    /** Why the relayed response counts as complete, or null if it does not. */
+    val evidence: CompletionEvidence?
+        get() = (call?.bodyEnd as? BodyEnd.Complete)?.evidence
+
     /** The number of attempts in which a target may have run the request. */
     val runs: Int
         get() = call?.runs ?: 0
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.common.log.warnEvent
 import org.chestnutloom.edge.http.HttpConnection
+import org.chestnutloom.edge.http.ResponseFraming
 import org.chestnutloom.edge.http.ResponsePart
 import org.chestnutloom.edge.target.Target
 import org.chestnutloom.edge.turn.EventStreamParser
@@ -37,13 +38,14 @@
                 ?: return timedOutResponse()
         return when (collected) {
             is CollectedBody.Complete -> {
+                call.bodyEnd = BodyEnd.Complete(evidenceOf(collected.end.framing))
                 call.exchange.respond(head.status, head.headers, collected.body)
                 ReadResult(AttemptResult.Responded(head.status, isComplete = true), isConnectionReusable = true)
             }
             is CollectedBody.TooLarge -> {
                 call.exchange.start(head.status, head.headers)
                 call.exchange.send(collected.body)
-                finishResponse(call, head, isComplete = relayUntilDeadline(call, connection, parts, events = null))
+                finishResponse(call, head, relayUntilDeadline(call, connection, parts, events = null))
             }
             is CollectedBody.Aborted -> lostResponse(collected.cause)
         }
@@ -66,69 +68,87 @@
         // With a length, the response to a turn would look complete with its last byte, before the turn is durable.
         if (call.chain != null) head.headers.remove(HttpHeaderNames.CONTENT_LENGTH)
         call.exchange.start(head.status, head.headers)
-        var isComplete = false
+        var end: BodyEnd? = null
         try {
-            isComplete = relayUntilDeadline(call, connection, parts, events)
+            end = relayUntilDeadline(call, connection, parts, events)
         } finally {
-            settleReservation(call, events, isComplete)
+            settleReservation(call, events, isComplete = end is BodyEnd.Complete)
         }
         val chain = call.chain
-        if (!isComplete || chain == null) return finishResponse(call, head, isComplete)
+        if (end !is BodyEnd.Complete || chain == null) return finishResponse(call, head, end)
         val turn = turnOf(call, chain, target, events)
-        return ReadResult(AttemptResult.Responded(head.status, isComplete, turn), isConnectionReusable = true)
+        return ReadResult(AttemptResult.Responded(head.status, isComplete = true, turn), isConnectionReusable = true)
     }
 
     private fun finishResponse(
         call: RoutedCall,
         head: ResponseHead,
-        isComplete: Boolean,
+        end: BodyEnd,
     ): ReadResult {
+        val isComplete = end is BodyEnd.Complete
         if (isComplete) call.exchange.finish() else call.exchange.abort()
         return ReadResult(AttemptResult.Responded(head.status, isComplete), isConnectionReusable = isComplete)
     }
 
-    /** Relays [parts] until the caller's deadline and returns whether the response was complete. */
+    /** Relays [parts] until the caller's deadline and returns how they ended. */
     private suspend fun relayUntilDeadline(
         call: RoutedCall,
         connection: HttpConnection,
         parts: ReceiveChannel<ResponsePart>,
         events: EventStreamParser?,
-    ): Boolean =
-        withTimeoutOrNull(call.callerDeadline - clock.elapsed()) {
-            relayParts(call, connection, parts, events)
-        } ?: false
+    ): BodyEnd {
+        val end =
+            withTimeoutOrNull(call.callerDeadline - clock.elapsed()) { relayParts(call, connection, parts, events) }
+                ?: BodyEnd.Broken("deadline passed before the response ended")
+        call.bodyEnd = end
+        if (end is BodyEnd.Broken) logBroken(call, end)
+        return end
+    }
 
     private suspend fun relayParts(
         call: RoutedCall,
         connection: HttpConnection,
         parts: ReceiveChannel<ResponsePart>,
         events: EventStreamParser?,
-    ): Boolean {
+    ): BodyEnd {
         for (part in parts) {
             when (part) {
                 is ResponsePart.Data -> {
                     events?.read(part.bytes)
-                    if (events?.isTooLarge == true) return logAborted(call, "event or stream is too large")
+                    if (events?.isTooLarge == true) return BodyEnd.Broken("event or stream is too large")
                     call.exchange.send(part.bytes)
                     applyBackpressure(call, connection)
                 }
-                is ResponsePart.End -> {
-                    if (part.isDelimited || events?.isInsideEvent != true) return true
-                    return logAborted(call, "connection was closed inside an event")
-                }
-                is ResponsePart.Aborted -> return logAborted(call, part.cause)
-                is ResponsePart.Head -> return false
+                is ResponsePart.End -> return endOf(part, events)
+                is ResponsePart.Aborted -> return BodyEnd.Broken(part.cause)
+                is ResponsePart.Head -> return BodyEnd.Broken("unexpected second response head")
             }
         }
-        return false
+        return BodyEnd.Broken("response ended without its last part")
     }
 
-    private fun logAborted(
+    private fun endOf(
+        end: ResponsePart.End,
+        events: EventStreamParser?,
+    ): BodyEnd {
+        val isDelimited = end.framing != ResponseFraming.CONNECTION
+        if (!isDelimited && events?.isInsideEvent == true) {
+            return BodyEnd.Broken("connection was closed inside an event")
+        }
+        return BodyEnd.Complete(evidenceOf(end.framing))
+    }
+
+    private fun logBroken(
         call: RoutedCall,
-        cause: String,
-    ): Boolean {
-        logger.warnEvent("answer_broken", "call" to call.id, "target" to call.lastTarget, "cause" to cause)
-        return false
+        end: BodyEnd.Broken,
+    ) {
+        logger.warnEvent(
+            "answer_broken",
+            "call" to call.id,
+            "program" to (call.head.program ?: "none"),
+            "target" to call.lastTarget,
+            "cause" to end.cause,
+        )
     }
 
     /** Pauses reading from the target until the caller's connection is writable. */
@@ -177,7 +197,7 @@
         for (part in parts) {
             when (part) {
                 is ResponsePart.Data -> body.write(part.bytes)
-                is ResponsePart.End -> return CollectedBody.Complete(body.toByteArray())
+                is ResponsePart.End -> return CollectedBody.Complete(body.toByteArray(), part)
                 is ResponsePart.Aborted -> return CollectedBody.Aborted(part.cause)
                 is ResponsePart.Head -> return CollectedBody.Aborted("unexpected second response head")
             }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
@@ -50,6 +50,9 @@
     /** The target to which the request was sent last. */
     var lastTarget: TargetId? = null
 
+    /** How the body of the response that was relayed ended, or null if none was. */
+    var bodyEnd: BodyEnd? = null
+
     /** Identifies the request across retries by its caller. */
     val fingerprint: RequestFingerprint by lazy(LazyThreadSafetyMode.NONE) { fingerprintOf(request, account?.id) }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/CallerExchange.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/CallerExchange.kt
@@ -7,6 +7,9 @@
     /** Whether the response head has been sent. */
     public val isStarted: Boolean
 
+    /** How the response has ended. */
+    public val ending: ResponseEnding
+
     /** Sends a complete response. */
     public fun respond(
         status: Int,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -132,15 +132,19 @@
         if (isInterim) return
         if (active.isSkipping || !HttpUtil.isKeepAlive(response)) isUsable = false
         if (active.isSkipping) return
-        active.isDelimited = isDelimited(response)
-        if (!active.isDelimited) isUsable = false
+        active.framing = framingOf(response)
+        if (active.framing == ResponseFraming.CONNECTION) isUsable = false
         keepAliveTimeout = keepAliveTimeoutOf(response)
         active.hasHead = true
         active.parts.trySend(ResponsePart.Head(response))
     }
 
-    private fun isDelimited(response: HttpResponse): Boolean =
-        HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+    private fun framingOf(response: HttpResponse): ResponseFraming =
+        when {
+            HttpUtil.isTransferEncodingChunked(response) -> ResponseFraming.CHUNKS
+            HttpUtil.isContentLengthSet(response) -> ResponseFraming.LENGTH
+            else -> ResponseFraming.CONNECTION
+        }
 
     private fun readEnd(active: Exchange) {
         if (active.isSkipping) return
@@ -148,7 +152,7 @@
         exchange = null
         idleSince = clock.elapsed()
         completedExchanges++
-        active.parts.trySend(ResponsePart.End(active.isDelimited))
+        active.parts.trySend(ResponsePart.End(active.framing))
         active.parts.close()
     }
 
@@ -186,8 +190,8 @@
         /** Whether the head of the response to this request has arrived. */
         var hasHead = false
 
-        /** Whether the head of the response tells how its end is recognized. */
-        var isDelimited = false
+        /** How the end of the response is recognized, according to its head. */
+        var framing = ResponseFraming.CONNECTION
         var bytesBeforeHead = 0
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressExchange.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressExchange.kt
@@ -24,12 +24,19 @@
     private val onEnded: () -> Unit,
 ) : CallerExchange {
     private var writabilityChange = CompletableDeferred<Unit>()
-    private var isEnded = false
     private var isLastOnConnection = false
 
+    private var isChunked = false
+
     override var isStarted: Boolean = false
         private set
 
+    override var ending: ResponseEnding = ResponseEnding.NONE
+        private set
+
+    private val isEnded: Boolean
+        get() = ending != ResponseEnding.NONE
+
     override fun respond(
         status: Int,
         headers: HttpHeaders,
@@ -42,7 +49,7 @@
         response.headers().add(headers)
         HttpUtil.setContentLength(response, body.size.toLong())
         setConnectionHeader(response)
-        end(context.writeAndFlush(response))
+        end(ResponseEnding.LENGTH, context.writeAndFlush(response))
     }
 
     override fun start(
@@ -53,7 +60,8 @@
         isStarted = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         response.headers().add(headers)
-        if (!HttpUtil.isContentLengthSet(response)) HttpUtil.setTransferEncodingChunked(response, true)
+        isChunked = !HttpUtil.isContentLengthSet(response)
+        if (isChunked) HttpUtil.setTransferEncodingChunked(response, true)
         setConnectionHeader(response)
         context.writeAndFlush(response)
     }
@@ -75,12 +83,13 @@
 
     override fun finish() {
         if (isEnded) return
-        end(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
+        val ending = if (isChunked) ResponseEnding.LAST_CHUNK else ResponseEnding.LENGTH
+        end(ending, context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
     }
 
     override fun abort() {
         if (isEnded) return
-        isEnded = true
+        ending = ResponseEnding.ABORTED
         context.close()
         onEnded()
     }
@@ -100,8 +109,11 @@
         if (isLastOnConnection) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
-    private fun end(written: ChannelFuture) {
-        isEnded = true
+    private fun end(
+        ending: ResponseEnding,
+        written: ChannelFuture,
+    ) {
+        this.ending = ending
         if (isLastOnConnection) written.addListener { context.close() }
         onEnded()
     }
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponseFraming.kt
@@ -0,0 +1,13 @@
+package org.chestnutloom.edge.http
+
+/** How the end of a server's response is recognized. */
+public enum class ResponseFraming {
+    /** By its length. */
+    LENGTH,
+
+    /** By its last chunk. */
+    CHUNKS,
+
+    /** By the end of its connection, which a server that is killed closes as well. */
+    CONNECTION,
+}
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponsePart.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponsePart.kt
@@ -17,11 +17,10 @@
     /**
      * The response has ended.
      *
-     * @property isDelimited whether its length or its last chunk shows that it is complete; otherwise it ended when the
-     *   server closed the connection, as a server that was killed does as well
+     * @property framing how its end was recognized
      */
     public data class End(
-        public val isDelimited: Boolean,
+        public val framing: ResponseFraming,
     ) : ResponsePart
 
     /** The connection was closed or sent invalid HTTP before the response was complete. */
