Test responses without a length or chunks whose target is killed

A target that closes the connection and stops listening at the same moment gets its stream ended with a last chunk, its turn stored, and its plain body answered 200 with a Content-Length of what has come, on idempotent and other routes. Complete responses of a target that goes on listening stay complete, as do responses that have no body. The stand-in for targets has ConnectionAction.KILL for this, and a caller may now start to read before its deadline.

--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ConnectionAction.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ConnectionAction.kt
@@ -10,4 +10,7 @@
 
     /** Closes the connection with a TCP reset. */
     RESET,
+
+    /** Stops listening and closes all connections gracefully, as the kernel does for a process that is killed. */
+    KILL,
 }
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedTarget.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedTarget.kt
@@ -58,9 +58,13 @@
     }
 
     override suspend fun stop() {
+        closeSockets()
+        scope.cancel()
+    }
+
+    private fun closeSockets() {
         serverSocket?.close()
         openSockets.forEach { it.close() }
-        scope.cancel()
     }
 
     private fun accept(server: ServerSocket) {
@@ -122,6 +126,7 @@
         response.chunks.forEach { write(it.encodeToByteArray(), output, response.pause) }
         if (response.isEndless) writeUntilClosed(response.chunks.last().encodeToByteArray(), output, response.pause)
         if (response.connectionAction == ConnectionAction.RESET) socket.setSoLinger(true, 0)
+        if (response.connectionAction == ConnectionAction.KILL) closeSockets()
         return response.connectionAction == ConnectionAction.KEEP_ALIVE
     }
 
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RawCaller.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RawCaller.kt
@@ -32,11 +32,12 @@
         return exchange(lines.joinToString("\r\n", postfix = "\r\n\r\n") + body)
     }
 
-    /** Sends a request, waits for [callerTimeoutMs] without reading, and returns how to read what has arrived. */
+    /** Sends a request, waits for [waitMs] without reading, and returns how to read what has arrived. */
     suspend fun sendWithoutReading(
         method: String,
         path: String,
         callerTimeoutMs: Long,
+        waitMs: Long = callerTimeoutMs,
     ): suspend () -> RawResponse =
         withContext(Dispatchers.IO) {
             val socket = Socket(InetAddress.getLoopbackAddress(), port)
@@ -45,7 +46,7 @@
                     "Chestnutloom-Attempt-Id: attempt-$port-${++requests}\r\n" +
                     "Chestnutloom-Deadline-Ms: $callerTimeoutMs\r\n\r\n"
             socket.getOutputStream().write(head.encodeToByteArray())
-            delay(callerTimeoutMs)
+            delay(waitMs)
             suspend { withContext(Dispatchers.IO) { socket.use { RawResponse(readAll(it)) } } }
         }
 
