Take a response without a length for complete only if its target goes on listening

The turns were stored. Cause: the end of the connection is the only end that such a response has, and a process that is killed closes its connections in the same way. The gateway took it as proof, and told its caller more than the target had told. Why the fix works: the end counts only with evidence from elsewhere. The target is connected to 20 ms later, as a process that dies closes its sockets one after the other; if it refuses, or another run of it was announced, the stream is broken off, and a buffered body is lost, so that idempotent requests are tried again and others get 502. The connection goes to the pool in place of the one that closed. Responses that end together share it. Responses to HEAD and with 204 and 304 have no body, need no evidence, and no longer cost their connection.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -14,6 +14,7 @@
 import org.chestnutloom.edge.call.CallDispatcher
 import org.chestnutloom.edge.call.CallMetrics
 import org.chestnutloom.edge.call.CallService
+import org.chestnutloom.edge.call.CompletionCheck
 import org.chestnutloom.edge.call.ResponseRelay
 import org.chestnutloom.edge.call.ShutdownDeadline
 import org.chestnutloom.edge.call.TargetAttempts
@@ -52,6 +53,7 @@
 import org.chestnutloom.edge.store.HealthTrackingRowStore
 import org.chestnutloom.edge.store.HedgedRowStore
 import org.chestnutloom.edge.store.StoreHealth
+import org.chestnutloom.edge.target.ListeningProbe
 import org.chestnutloom.edge.target.TargetDirectory
 import org.chestnutloom.edge.target.TargetFactory
 import org.chestnutloom.edge.target.TargetScheduler
@@ -190,7 +192,8 @@
     }
 
     private fun callService(): CallService {
-        val attempts = TargetAttempts(adapter.callCodec, ResponseRelay(clock), clock, loop.scope)
+        val check = CompletionCheck(ListeningProbe(loop.scope) { it.pool.addIdle() })
+        val attempts = TargetAttempts(adapter.callCodec, ResponseRelay(check, clock), clock, loop.scope)
         val dispatcher = CallDispatcher(scheduler, attempts, quarantine, clock, loop.scope)
         return CallService(
             configurations,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
@@ -6,7 +6,6 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.common.log.warnEvent
 import org.chestnutloom.edge.http.HttpConnection
-import org.chestnutloom.edge.http.ResponseFraming
 import org.chestnutloom.edge.http.ResponsePart
 import org.chestnutloom.edge.target.Target
 import org.chestnutloom.edge.turn.EventStreamParser
@@ -20,6 +19,7 @@
 
 /** Relays target responses to callers. */
 internal class ResponseRelay(
+    private val check: CompletionCheck,
     private val clock: Clock,
 ) {
     /** Drains an unwanted response and returns whether it was read completely. */
@@ -29,6 +29,7 @@
     /** Buffers the response before relaying it, so that the call can be retried if the response is aborted. */
     suspend fun relayBuffered(
         call: RoutedCall,
+        target: Target,
         connection: HttpConnection,
         head: ResponseHead,
         parts: ReceiveChannel<ResponsePart>,
@@ -37,20 +38,35 @@
             withTimeoutOrNull(call.deadline - clock.elapsed()) { collect(parts, MAX_BUFFERED_BYTES) }
                 ?: return timedOutResponse()
         return when (collected) {
-            is CollectedBody.Complete -> {
-                call.bodyEnd = BodyEnd.Complete(evidenceOf(collected.end.framing))
-                call.exchange.respond(head.status, head.headers, collected.body)
-                ReadResult(AttemptResult.Responded(head.status, isComplete = true), isConnectionReusable = true)
-            }
+            is CollectedBody.Complete -> respond(call, target, head, collected)
             is CollectedBody.TooLarge -> {
                 call.exchange.start(head.status, head.headers)
                 call.exchange.send(collected.body)
-                finishResponse(call, head, relayUntilDeadline(call, connection, parts, events = null))
+                finishResponse(call, head, relayUntilDeadline(call, target, connection, parts, events = null))
             }
             is CollectedBody.Aborted -> lostResponse(collected.cause)
         }
     }
 
+    private suspend fun respond(
+        call: RoutedCall,
+        target: Target,
+        head: ResponseHead,
+        collected: CollectedBody.Complete,
+    ): ReadResult {
+        val end =
+            withTimeoutOrNull(call.deadline - clock.elapsed()) {
+                check.check(target, collected.end, events = null)
+            } ?: return timedOutResponse()
+        if (end is BodyEnd.Broken) {
+            logBroken(call, end)
+            return lostResponse(end.cause)
+        }
+        call.bodyEnd = end
+        call.exchange.respond(head.status, head.headers, collected.body)
+        return ReadResult(AttemptResult.Responded(head.status, isComplete = true), isConnectionReusable = true)
+    }
+
     /**
      * Relays a streamed response as its parts arrive.
      *
@@ -70,7 +86,7 @@
         call.exchange.start(head.status, head.headers)
         var end: BodyEnd? = null
         try {
-            end = relayUntilDeadline(call, connection, parts, events)
+            end = relayUntilDeadline(call, target, connection, parts, events)
         } finally {
             settleReservation(call, events, isComplete = end is BodyEnd.Complete)
         }
@@ -93,13 +109,15 @@
     /** Relays [parts] until the caller's deadline and returns how they ended. */
     private suspend fun relayUntilDeadline(
         call: RoutedCall,
+        target: Target,
         connection: HttpConnection,
         parts: ReceiveChannel<ResponsePart>,
         events: EventStreamParser?,
     ): BodyEnd {
         val end =
-            withTimeoutOrNull(call.callerDeadline - clock.elapsed()) { relayParts(call, connection, parts, events) }
-                ?: BodyEnd.Broken("deadline passed before the response ended")
+            withTimeoutOrNull(call.callerDeadline - clock.elapsed()) {
+                relayParts(call, target, connection, parts, events)
+            } ?: BodyEnd.Broken("deadline passed before the response ended")
         call.bodyEnd = end
         if (end is BodyEnd.Broken) logBroken(call, end)
         return end
@@ -107,6 +125,7 @@
 
     private suspend fun relayParts(
         call: RoutedCall,
+        target: Target,
         connection: HttpConnection,
         parts: ReceiveChannel<ResponsePart>,
         events: EventStreamParser?,
@@ -119,7 +138,7 @@
                     call.exchange.send(part.bytes)
                     applyBackpressure(call, connection)
                 }
-                is ResponsePart.End -> return endOf(part, events)
+                is ResponsePart.End -> return check.check(target, part, events)
                 is ResponsePart.Aborted -> return BodyEnd.Broken(part.cause)
                 is ResponsePart.Head -> return BodyEnd.Broken("unexpected second response head")
             }
@@ -127,17 +146,6 @@
         return BodyEnd.Broken("response ended without its last part")
     }
 
-    private fun endOf(
-        end: ResponsePart.End,
-        events: EventStreamParser?,
-    ): BodyEnd {
-        val isDelimited = end.framing != ResponseFraming.CONNECTION
-        if (!isDelimited && events?.isInsideEvent == true) {
-            return BodyEnd.Broken("connection was closed inside an event")
-        }
-        return BodyEnd.Complete(evidenceOf(end.framing))
-    }
-
     private fun logBroken(
         call: RoutedCall,
         end: BodyEnd.Broken,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
@@ -145,7 +145,7 @@
             head.isSuccess && !head.isSigned -> lostResponse("response has no signature")
             head.impliesNotRun -> lostResponse("target status ${head.status} does not prove that the call was not run")
             isStream -> relay.relayStream(call, target, connection, head, parts)
-            else -> relay.relayBuffered(call, connection, head, parts)
+            else -> relay.relayBuffered(call, target, connection, head, parts)
         }
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
@@ -1,6 +1,7 @@
 package org.chestnutloom.edge.http
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.right
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -26,6 +27,13 @@
         return connector.connect(address)
     }
 
+    /** Opens a connection for a later request, and returns whether the server accepted it. */
+    public suspend fun addIdle(): Boolean {
+        val connection = connector.connect(address).getOrElse { return false }
+        release(connection)
+        return true
+    }
+
     /** Returns [connection] to the pool after its exchange. */
     public fun release(connection: HttpConnection) {
         if (isClosed) return connection.close()
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
@@ -29,7 +30,9 @@
 
     /** Whether nothing has ruled out another request, such as a failure or a response that closes the connection. */
     private var isUsable = true
-    private var isRequestSent = false
+
+    /** Whether no request is being sent. */
+    private var isRequestSent = true
 
     /** Monotonic time at which the last exchange completed. */
     internal var idleSince: Duration = clock.elapsed()
@@ -56,7 +59,7 @@
         request: FullHttpRequest,
         matches: (HttpResponse) -> Boolean,
     ): ReceiveChannel<ResponsePart> {
-        val started = Exchange(matches)
+        val started = Exchange(matches, isHead = request.method() == HttpMethod.HEAD)
         exchange = started
         isRequestSent = false
         val channel = context?.channel()
@@ -132,15 +135,19 @@
         if (isInterim) return
         if (active.isSkipping || !HttpUtil.isKeepAlive(response)) isUsable = false
         if (active.isSkipping) return
-        active.framing = framingOf(response)
+        active.framing = framingOf(active, response)
         if (active.framing == ResponseFraming.CONNECTION) isUsable = false
         keepAliveTimeout = keepAliveTimeoutOf(response)
         active.hasHead = true
         active.parts.trySend(ResponsePart.Head(response))
     }
 
-    private fun framingOf(response: HttpResponse): ResponseFraming =
+    private fun framingOf(
+        active: Exchange,
+        response: HttpResponse,
+    ): ResponseFraming =
         when {
+            active.isHead || response.status().code() in STATUSES_WITHOUT_BODY -> ResponseFraming.NO_BODY
             HttpUtil.isTransferEncodingChunked(response) -> ResponseFraming.CHUNKS
             HttpUtil.isContentLengthSet(response) -> ResponseFraming.LENGTH
             else -> ResponseFraming.CONNECTION
@@ -183,6 +190,7 @@
 
     private class Exchange(
         val matches: (HttpResponse) -> Boolean,
+        val isHead: Boolean,
     ) {
         val parts = Channel<ResponsePart>(Channel.UNLIMITED)
         var isSkipping = false
@@ -198,5 +206,6 @@
     private companion object {
         /** Enough for a late response to an earlier request, which is skipped. */
         const val MAX_BYTES_BEFORE_HEAD = 1024 * 1024
+        val STATUSES_WITHOUT_BODY = setOf(204, 304)
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponseFraming.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponseFraming.kt
@@ -8,6 +8,9 @@
     /** By its last chunk. */
     CHUNKS,
 
+    /** It has no body, and ends with its head. */
+    NO_BODY,
+
     /** By the end of its connection, which a server that is killed closes as well. */
     CONNECTION,
 }
--- /dev/null
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/ListeningProbe.kt
@@ -0,0 +1,47 @@
+package org.chestnutloom.edge.target
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import org.chestnutloom.common.log.event
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Takes a target for alive if it accepts a connection; confined to the event loop.
+ *
+ * A process that dies closes its sockets one after the other, so the connection is opened only after a pause. A new run
+ * that listens at the same address within that pause can be told only once the store has announced it.
+ *
+ * @property connect opens a connection for later requests to the target; returns whether the target accepted it
+ */
+internal class ListeningProbe(
+    private val scope: CoroutineScope,
+    private val connect: suspend (Target) -> Boolean,
+) : TargetLiveness {
+    /** The probes that those who ask now may share, since their pause has not begun. */
+    private val joinable = HashMap<Target, Deferred<Boolean>>()
+
+    override suspend fun isAlive(target: Target): Boolean = joinable.getOrPut(target) { start(target) }.await()
+
+    private fun start(target: Target): Deferred<Boolean> =
+        scope.async {
+            delay(JOIN_PERIOD)
+            joinable.remove(target)
+            delay(PAUSE)
+            val isAlive = !target.isRemoved && connect(target) && !target.isRemoved
+            logger.event("target_probed", "target" to target.entry.id, "alive" to isAlive)
+            isAlive
+        }
+
+    private companion object {
+        /** Responses that one process leaves behind arrive this close together. */
+        private val JOIN_PERIOD = 5.milliseconds
+
+        /** The time after which a process that closed a connection because it dies no longer listens. */
+        private val PAUSE = 20.milliseconds
+    }
+}
--- /dev/null
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/target/ListeningProbeSpec.kt
@@ -0,0 +1,97 @@
+package org.chestnutloom.edge.target
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.chestnutloom.edge.VirtualClock
+import org.chestnutloom.edge.http.EdgeLoop
+import org.chestnutloom.edge.http.HttpConnector
+import org.chestnutloom.id.TargetId
+import org.chestnutloom.wire.link.PeerAddress
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val ID = TargetId("i-1")
+
+/** A probe of one target that listens until [listensUntilMs], in virtual time. */
+@OptIn(ExperimentalCoroutinesApi::class)
+private class ProbeFixture(
+    test: TestScope,
+    loop: EdgeLoop,
+    private val listensUntilMs: Long = Long.MAX_VALUE,
+) {
+    private val connector = HttpConnector(loop, VirtualClock(test), connectTimeout = 1.seconds)
+    val directory = TargetDirectory(TargetFactory(connector, VirtualClock(test), test)) { 1_000L }
+    val connectedAtMs = mutableListOf<Long>()
+    val probe =
+        ListeningProbe(test) {
+            connectedAtMs += test.currentTime
+            test.currentTime < listensUntilMs
+        }
+
+    fun register(startedAtEpochMs: Long): Target {
+        val address = PeerAddress("127.0.0.1", 9)
+        directory.update(TargetEntry(ID, startedAtEpochMs, "models", address, "siracusa", 4, TargetStage.READY))
+        return checkNotNull(directory[ID])
+    }
+}
+
+class ListeningProbeSpec :
+    DescribeSpec({
+        val loop = EdgeLoop()
+
+        afterSpec { loop.close() }
+
+        describe("a probe of a target whose connection has ended") {
+            // Guards against a process that dies and still listens while it closes its connections.
+            it("finds it dead if it listens for a little longer than its connection lasts") {
+                runTest {
+                    val fixture = ProbeFixture(this, loop, listensUntilMs = 15)
+                    fixture.probe.isAlive(fixture.register(1)) shouldBe false
+                }
+            }
+
+            it("finds it alive if it accepts a connection") {
+                runTest {
+                    val fixture = ProbeFixture(this, loop)
+                    fixture.probe.isAlive(fixture.register(1)) shouldBe true
+                }
+            }
+
+            it("is shared by connections that end together, but not by one that ends within the pause") {
+                runTest {
+                    val fixture = ProbeFixture(this, loop, listensUntilMs = 32)
+                    val target = fixture.register(1)
+                    val results =
+                        listOf(0, 3, 4, 12).map { endsAtMs ->
+                            async {
+                                delay(endsAtMs.milliseconds)
+                                fixture.probe.isAlive(target)
+                            }
+                        }
+                    results.awaitAll() shouldContainExactly listOf(true, true, true, false)
+                    fixture.connectedAtMs shouldContainExactly listOf(25, 37)
+                }
+            }
+
+            // Guards against a target that has started again and listens at the address of the run that was killed.
+            it("does not take another run of it for the one whose connection has ended") {
+                runTest {
+                    val fixture = ProbeFixture(this, loop)
+                    val killed = fixture.register(1)
+                    val isAlive = async { fixture.probe.isAlive(killed) }
+                    delay(10.milliseconds)
+                    fixture.register(2)
+                    isAlive.await() shouldBe false
+                    fixture.connectedAtMs shouldContainExactly emptyList()
+                }
+            }
+        }
+    })
