--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -36,7 +36,9 @@
 
     /** Whether nothing has ruled out another request, such as a failure or a response that closes the connection. */
     private var isUsable = true
-    private var isRequestSent = false
+
+    /** Whether no request is being sent. */
+    private var isRequestSent = true
 
     /** Monotonic time at which the last exchange completed. */
     internal var idleSince: Duration = clock.elapsed()
@@ -147,7 +149,7 @@
         active.isSkipping = isInterim || !active.matches(response)
         if (isInterim) return
         hasResponded = true
-        active.isDelimited = isDelimited(response)
+        active.framing = framingOf(response)
         if (active.isSkipping || !HttpUtil.isKeepAlive(response)) isUsable = false
         if (active.isSkipping) {
             if (!active.isDelimited) failAndClose("server sent a response to another request whose end is unknown")
@@ -159,10 +161,13 @@
         active.parts.trySend(ResponsePart.Head(response))
     }
 
-    private fun isDelimited(response: HttpResponse): Boolean =
-        decoder.hasNoBody(response) ||
-            HttpUtil.isContentLengthSet(response) ||
-            HttpUtil.isTransferEncodingChunked(response)
+    private fun framingOf(response: HttpResponse): ResponseFraming =
+        when {
+            decoder.hasNoBody(response) -> ResponseFraming.NO_BODY
+            HttpUtil.isTransferEncodingChunked(response) -> ResponseFraming.CHUNKS
+            HttpUtil.isContentLengthSet(response) -> ResponseFraming.LENGTH
+            else -> ResponseFraming.CONNECTION
+        }
 
     private fun readEnd(active: Exchange) {
         if (active.isSkipping) return
@@ -170,7 +175,7 @@
         exchange = null
         idleSince = clock.elapsed()
         completedExchanges++
-        active.parts.trySend(ResponsePart.End(active.isDelimited))
+        active.parts.trySend(ResponsePart.End(active.framing))
         active.parts.close()
         if (decoder.unreadBytes > 0) closeAfterExtraBytes(decoder.unreadBytes)
     }
@@ -214,9 +219,13 @@
         /** Whether the head of the response to this request has arrived. */
         var hasHead = false
 
-        /** Whether the head of the response tells how its end is recognized. */
-        var isDelimited = false
+        /** How the end of the response is recognized, according to its head. */
+        var framing = ResponseFraming.CONNECTION
         var bytesBeforeHead = 0
+
+        /** Whether the end of the response can be told from the bytes of the response itself. */
+        val isDelimited: Boolean
+            get() = framing != ResponseFraming.CONNECTION
     }
 
     private companion object {
