--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
@@ -10,8 +10,11 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequestEncoder
 import jdk.net.ExtendedSocketOptions
+import kotlinx.collections.immutable.ImmutableSet
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.coroutines.suspendCancellableCoroutine
 import org.chestnutloom.time.Clock
 import org.chestnutloom.wire.link.PeerAddress
@@ -24,12 +27,15 @@
  * Opens HTTP client connections.
  *
  * @property connectTimeout maximum time to establish a TCP connection
+ * @param uniqueHeaders names of the headers, besides those of HTTP itself, that a response has at most once
  */
 public class HttpConnector(
     loop: EdgeLoop,
     private val clock: Clock,
     private val connectTimeout: Duration,
+    uniqueHeaders: ImmutableSet<String> = persistentSetOf(),
 ) {
+    private val validator = ResponseHeadValidator(uniqueHeaders)
     private val bootstrap =
         Bootstrap()
             .group(loop.group)
@@ -41,13 +47,22 @@
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
             .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
 
+    private val decoderConfig =
+        HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_LINE_BYTES)
+            .setMaxHeaderSize(MAX_HEADER_BYTES)
+            .setMaxChunkSize(MAX_CHUNK_BYTES)
+            .setHeadersFactory(ResponseHeadersFactory(validator))
+            .setTrailersFactory(ResponseHeadersFactory(validator))
+
     /** Opens a connection to [address]. */
     public suspend fun connect(address: PeerAddress): Either<ConnectFailure, HttpConnection> {
-        val connection = HttpConnection(clock)
+        val decoder = ResponseDecoder(decoderConfig, validator)
+        val connection = HttpConnection(clock, decoder)
         val attempt =
             bootstrap
                 .clone()
-                .handler(initializer(connection))
+                .handler(initializer(connection, decoder))
                 .connect(InetSocketAddress(address.host, address.port))
         val cause = attempt.awaitFailure()
         return if (cause == null) connection.right() else failure(address, cause).left()
@@ -57,12 +72,16 @@
     public suspend fun isConnectionRefused(address: PeerAddress): Boolean =
         connect(address).fold({ it.wasRefused }, { connection -> false.also { connection.close() } })
 
-    private fun initializer(connection: HttpConnection): ChannelInitializer<SocketChannel> =
+    private fun initializer(
+        connection: HttpConnection,
+        decoder: ResponseDecoder,
+    ): ChannelInitializer<SocketChannel> =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
                 channel.pipeline().addLast(
                     ReceivedBytesHandler(connection),
-                    HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
+                    decoder,
+                    HttpRequestEncoder(),
                     connection,
                 )
             }
