--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/http/ScriptedConnection.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/http/ScriptedConnection.kt
@@ -3,9 +3,11 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpVersion
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.coroutines.channels.ReceiveChannel
 import java.io.IOException
 
@@ -13,8 +15,15 @@
 internal class ScriptedConnection(
     private val order: ConnectionOrder,
 ) {
-    private val connection = HttpConnection(StoppedClock)
-    private val channel = EmbeddedChannel(ReceivedBytesHandler(connection), HttpClientCodec(), connection)
+    private val validator = ResponseHeadValidator(persistentSetOf(ScriptedMessage.ID_HEADER))
+    private val headers = ResponseHeadersFactory(validator)
+    private val config = HttpDecoderConfig().setHeadersFactory(headers).setTrailersFactory(headers)
+    private val decoder = ResponseDecoder(config, validator)
+    private val connection = HttpConnection(StoppedClock, decoder)
+
+    /** With the handlers of [HttpConnector]. */
+    private val channel =
+        EmbeddedChannel(ReceivedBytesHandler(connection), decoder, HttpRequestEncoder(), connection)
 
     /** Returns the first fault of the connection, or null if it has none. */
     fun fault(): String? =
