Fail an exchange whose connection the gateway itself closes

Seen in the model check only: when the gateway closed a connection during a response without a length, the decoder ended the response as it does when the server closes, and the exchange ended like a whole one. No caller is known to have got such an end, since those who close a connection have stopped reading its response; the next one to close it earlier would pass it on.

Cause: close() left the exchange open until the channel became inactive, and the decoder's last part came before that. close() fails the exchange first now, and the parts behind that are dropped as before.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -101,9 +101,9 @@
         return false
     }
 
-    /** Closes the connection immediately. */
+    /** Closes the connection immediately, which fails an exchange in progress. */
     internal fun close() {
-        isUsable = false
+        fail("connection was closed by the gateway")
         context?.close()
     }
 
