--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/http/ScriptedExchange.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/http/ScriptedExchange.kt
@@ -46,12 +46,13 @@
     private fun untrueEnd(parts: List<ResponsePart>): String? {
         if (parts.count { it is ResponsePart.End || it is ResponsePart.Aborted } > 1) return "two ends"
         val end = parts.lastOrNull() as? ResponsePart.End ?: return null
+        val isDelimited = end.framing != ResponseFraming.CONNECTION
         val isOrderly = own.framing == MessageFraming.CLOSE && ending == ConnectionEnding.FIN
         return when {
-            end.isDelimited && !own.framing.isDelimited -> "a delimited end without a length"
-            end.isDelimited && dataOf(parts) != own.body -> "a delimited end before the whole body"
-            !end.isDelimited && !isOrderly -> "an end by close without a close of the server"
-            !end.isDelimited && dataOf(parts) != own.text.take(sentBytes).drop(own.head.length) -> "a body with a gap"
+            isDelimited && !own.framing.isDelimited -> "a delimited end without a length"
+            isDelimited && dataOf(parts) != own.body -> "a delimited end before the whole body"
+            !isDelimited && !isOrderly -> "an end by close without a close of the server"
+            !isDelimited && dataOf(parts) != own.text.take(sentBytes).drop(own.head.length) -> "a body with a gap"
             else -> null
         }
     }
