Refuse methods that are not served instead of forwarding them

What callers saw: after a CONNECT request on a route, the next request to that target got 504. Cause: the request was forwarded; the decoder of the target's connection stops to decode after a 2xx to CONNECT, and the connection went back to the pool. Fix: the entrance refuses CONNECT and TRACE with 405 and Allow, any method besides GET, HEAD, POST, PUT, PATCH, DELETE and OPTIONS with 501, and closes the connection: what follows a CONNECT need not be HTTP. Responses to earlier requests go first. Each rejected request now has a log line.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
@@ -1,5 +1,6 @@
 package org.chestnutloom.edge.http
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
@@ -7,6 +8,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -15,16 +17,20 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
+import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.chestnutloom.common.log.event
 import org.chestnutloom.time.Clock
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+private val logger = KotlinLogging.logger {}
+
 /** Reads pipelined requests from one caller's connection and responds to them in order. */
 internal class IngressConnection(
     private val handler: CallerHandler,
@@ -110,6 +116,7 @@
         head = request
         receivedAt = clock.elapsed()
         body.reset()
+        refusalOf(request.method())?.let { return reject(it) }
         val limit = limits.current()
         if (HttpUtil.getContentLength(request, 0L) > limit.maxBodyBytes) {
             return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -122,6 +129,14 @@
         }
     }
 
+    /** Returns the status that refuses a request because of its [method], or null if it is served. */
+    private fun refusalOf(method: HttpMethod): HttpResponseStatus? =
+        when (method) {
+            in SERVED_METHODS -> null
+            in UNSERVED_METHODS -> HttpResponseStatus.METHOD_NOT_ALLOWED
+            else -> HttpResponseStatus.NOT_IMPLEMENTED
+        }
+
     private fun headerBytes(request: HttpRequest): Int =
         request.uri().length +
             request.headers().entries().sumOf { it.key.length + it.value.length + HEADER_SEPARATOR_BYTES }
@@ -182,6 +197,7 @@
     /** Rejects a request and closes the connection, because the end of the invalid request is unknown. */
     private fun reject(status: HttpResponseStatus) {
         isRejecting = true
+        logger.event("request_rejected", "status" to status.code(), "method" to (head?.method()?.name() ?: "none"))
         // Requests pipelined before the invalid one get their responses first.
         if (current == null && pending.isEmpty()) sendRejection(status) else pendingRejection = status
     }
@@ -190,6 +206,9 @@
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER)
         HttpUtil.setContentLength(response, 0)
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        if (status == HttpResponseStatus.METHOD_NOT_ALLOWED) {
+            response.headers().set(HttpHeaderNames.ALLOW, SERVED_METHODS.joinToString(", "))
+        }
         context.writeAndFlush(response).addListener { closeAfterDelay() }
     }
 
@@ -211,6 +230,20 @@
     private companion object {
         private const val MAX_PIPELINED = 2
 
+        private val SERVED_METHODS =
+            persistentSetOf(
+                HttpMethod.GET,
+                HttpMethod.HEAD,
+                HttpMethod.POST,
+                HttpMethod.PUT,
+                HttpMethod.PATCH,
+                HttpMethod.DELETE,
+                HttpMethod.OPTIONS,
+            )
+
+        /** A tunnel cannot be forwarded, and a trace would show the caller headers that are meant for the target. */
+        private val UNSERVED_METHODS = persistentSetOf(HttpMethod.CONNECT, HttpMethod.TRACE)
+
         /** The colon, space and CRLF of a header line. */
         private const val HEADER_SEPARATOR_BYTES = 4
         private val CLOSE_DELAY = 500.milliseconds
--- /dev/null
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RequestMethodSpec.kt
@@ -0,0 +1,70 @@
+package org.chestnutloom.integration.edge
+
+import io.kotest.core.spec.IsolationMode
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import org.chestnutloom.fakes.edge.signedResponse
+
+class RequestMethodSpec :
+    DescribeSpec({
+        isolationMode = IsolationMode.InstancePerLeaf
+        val fleet = EdgeFleet()
+        val served = listOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+
+        beforeEach { fleet.start() }
+        afterEach { fleet.stop() }
+
+        describe("a request's method") {
+            it("is forwarded unchanged if it is served") {
+                val target = fleet.target("i-1") { signedResponse(it, if (it.method == "HEAD") "" else "own") }
+                val caller = fleet.caller()
+                repeat(2) { served.forEach { caller.send(it, "/plain/$it").status shouldBe 200 } }
+                target.received.map { it.method } shouldBe served + served
+                target.connections shouldBe 1
+            }
+
+            // Guards against a CONNECT request that reached a target and left its pooled connection unusable.
+            it("does not make a target's connection unusable") {
+                val target = fleet.target("i-1") { signedResponse(it, "own") }
+                val caller = fleet.caller()
+                caller.send("POST", "/pay/0").status shouldBe 200
+                caller.send("CONNECT", "/pay/1")
+                (2..4).map { caller.send("POST", "/pay/$it").status } shouldBe listOf(200, 200, 200)
+                target.connections shouldBe 1
+            }
+
+            it("is refused if it is known but not served, and the response names the served ones") {
+                val target = fleet.target("i-1") { signedResponse(it, "own") }
+                val caller = fleet.caller()
+                for (path in listOf("/plain/1", "a.example:80")) {
+                    for (method in listOf("CONNECT", "TRACE")) {
+                        val response = caller.send(method, path)
+                        response.status shouldBe 405
+                        response.header("Allow") shouldBe served.joinToString(", ")
+                    }
+                }
+                target.received.size shouldBe 0
+            }
+
+            it("is refused if it is unknown") {
+                val target = fleet.target("i-1") { signedResponse(it, "own") }
+                val caller = fleet.caller()
+                listOf("BREW", "get", "GETS", "CONNECT2").map { caller.send(it, "/plain/1").status }.toSet() shouldBe
+                    setOf(501)
+                target.received.size shouldBe 0
+            }
+
+            it("is refused after the responses to earlier requests, and what follows it is not read") {
+                val target = fleet.target("i-1") { signedResponse(it, "first") }
+                val head =
+                    "/plain/1 HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key-a\r\n" +
+                        "Chestnutloom-Attempt-Id: z\r\n\r\n"
+                val response = fleet.caller().exchange("GET ${head}CONNECT ${head}POST $head")
+                response.status shouldBe 200
+                response.body shouldContain "first"
+                response.body shouldContain "HTTP/1.1 405"
+                target.received.map { it.method } shouldBe listOf("GET")
+            }
+        }
+    })
