End crash reports whatever time they spend on their way

What could happen: gateways logged the same crashes again and again. A report's age does not include the time on its way, so a gateway that had forgotten a crash took it over from one that had heard of it later, and so on in turn. And with more reports than a gateway keeps, those of one moment seemed newer than each other on arrival and displaced each other, with a log line each. Evidence, in virtual time on the code before: two crashes, three gateways and 20 s on the way: still reported after 31 minutes. 512 reports of one moment, two gateways and 20 ms on the way: in the second minute 330 heartbeats showed another latest change. With 150 ms on the way the reports ended before, too. Fix: reports are sent and accepted for five minutes and kept for six, so that no gateway forgets a crash while another may still report it, unless the report was more than a minute on its way. At the maximum number, a received report replaces only one that is older by that minute.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/RequestQuarantine.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/RequestQuarantine.kt
@@ -37,7 +37,7 @@
     /** Returns reports for the other gateways: the most recent changes, and some of the older reports in turn. */
     fun nextReports(): List<CrashReport> {
         removeExpired()
-        val reports = evidence.values.map { it.toReport(clock.elapsed()) }
+        val reports = evidence.values.map { it.toReport(clock.elapsed()) }.filter(::isRecent)
         val newest = reports.takeLast(NEWEST_PER_HEARTBEAT)
         val older = reports.dropLast(NEWEST_PER_HEARTBEAT)
         if (older.isEmpty()) return newest
@@ -73,23 +73,31 @@
     /** Merges [reports] received from another gateway; ignores those whose age cannot be true or has ended them. */
     fun merge(reports: List<CrashReport>) {
         val now = clock.elapsed()
-        reports.filter { it.ageMs in 0 until RETENTION.inWholeMilliseconds }.forEach { report ->
+        reports.filter(::isRecent).forEach { report ->
             val fingerprint = RequestFingerprint(report.fingerprint)
             val crashedAt = now - report.ageMs.milliseconds
-            put(CrashEvidence(fingerprint, report.crash, crashedAt, report.isCleared))
+            put(CrashEvidence(fingerprint, report.crash, crashedAt, report.isCleared), crashedAt - MAX_TRANSIT)
         }
     }
 
+    private fun isRecent(report: CrashReport): Boolean = report.ageMs in 0 until REPORT_PERIOD.inWholeMilliseconds
+
     private fun crashesOf(fingerprint: RequestFingerprint): List<CrashEvidence> =
         evidence.values.filter { it.fingerprint == fingerprint && !it.isCleared }
 
-    /** Adds or clears evidence; ignores what is known, too old, or older than everything kept at the maximum number. */
-    private fun put(received: CrashEvidence) {
+    /**
+     * Adds or clears evidence; ignores what is known or too old, and at the maximum number what would replace evidence
+     * that is not older than [evictsBefore].
+     */
+    private fun put(
+        received: CrashEvidence,
+        evictsBefore: Duration = received.crashedAt,
+    ) {
         val key = EvidenceKey(received.fingerprint, received.crash)
         val known = evidence[key]
         if (known != null && (known.isCleared || !received.isCleared)) return
         if (clock.elapsed() - received.crashedAt >= RETENTION) return
-        if (known == null && evidence.size >= MAX_EVIDENCE && !evictBefore(received.crashedAt)) return
+        if (known == null && evidence.size >= MAX_EVIDENCE && !evictBefore(evictsBefore)) return
         evidence.remove(key)
         evidence[key] = received.copy(crashedAt = known?.crashedAt ?: received.crashedAt)
         log(received)
@@ -135,6 +143,15 @@
         /** Longer than the longest quarantine, so that the next crash after it still doubles it. */
         private val RETENTION = 6.minutes
 
+        /**
+         * The maximum time that a report is on its way through all gateways that relay it. The age in a report does not
+         * include this time, so that what one gateway has forgotten may seem new to it in the report of another.
+         */
+        private val MAX_TRANSIT = 1.minutes
+
+        /** Ends before any gateway forgets the crash, so that none learns of it again. */
+        private val REPORT_PERIOD = RETENTION - MAX_TRANSIT
+
         /** Enough for all requests in flight at several targets that crash together. */
         private const val MAX_EVIDENCE = 256
         private const val NEWEST_PER_HEARTBEAT = 4
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/crash/RequestQuarantineSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/crash/RequestQuarantineSpec.kt
@@ -7,11 +7,13 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.chestnutloom.edge.VirtualClock
 import org.chestnutloom.edge.fleet.CrashReport
 import org.chestnutloom.wire.link.PeerAddress
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -20,6 +22,39 @@
 
 private fun runOfTarget(name: String) = TargetRun(name, PeerAddress("127.0.0.1", port = 9))
 
+/**
+ * Sends the reports of each of [gateways] to the others for [duration]; each arrives after [transit]. Returns how often a
+ * heartbeat showed another latest change than the one before.
+ */
+private suspend fun TestScope.exchangeReports(
+    gateways: List<RequestQuarantine>,
+    transit: Duration,
+    duration: Duration,
+): Int {
+    val latest = gateways.map { latestChange(it.nextReports()) }.toMutableList()
+    var changes = 0
+    repeat((duration / HEARTBEAT_INTERVAL).toInt()) {
+        gateways.forEachIndexed { index, from ->
+            val reports = from.nextReports()
+            if (latestChange(reports) != latest[index]) changes++
+            latest[index] = latestChange(reports)
+            backgroundScope.launch {
+                delay(transit)
+                gateways.filter { it !== from }.forEach { it.merge(reports) }
+            }
+        }
+        delay(HEARTBEAT_INTERVAL)
+    }
+    return changes
+}
+
+/** The last of the most recent changes, with which the reports of a heartbeat begin. */
+private fun latestChange(reports: List<CrashReport>): String? =
+    reports.take(NEWEST_PER_HEARTBEAT).lastOrNull()?.let { "${it.fingerprint} ${it.crash}" }
+
+private const val NEWEST_PER_HEARTBEAT = 4
+private val HEARTBEAT_INTERVAL = 100.milliseconds
+
 class RequestQuarantineSpec :
     DescribeSpec({
         fun TestScope.quarantine() = RequestQuarantine({ true }, VirtualClock(this), backgroundScope)
@@ -143,6 +178,35 @@
                 }
             }
 
+            // Guards against reports that gateways took over again from each other after they had ended, without end.
+            for (transit in listOf(150.milliseconds, 20.seconds)) {
+                it("end, though their age does not include the $transit that they are on their way") {
+                    runTest {
+                        val gateways = List(3) { quarantine() }
+                        gateways.first().crash("e1", "e2")
+                        exchangeReports(gateways, transit, 1.minutes)
+                        gateways.forEach { it.isQuarantined() shouldBe false }
+                        gateways.forEach { it.nextReports().shouldNotBeEmpty() }
+                        exchangeReports(gateways, transit, 30.minutes)
+                        gateways.forEach { it.nextReports().shouldBeEmpty() }
+                        gateways.forEach { it.hasCrashes shouldBe false }
+                    }
+                }
+            }
+
+            // Guards against full gateways that replaced the reports of one crash by each other, with a log line each.
+            it("do not displace others of the same time if there are more than are kept") {
+                runTest {
+                    val gateways = List(2) { quarantine() }
+                    gateways.forEachIndexed { index, gateway ->
+                        repeat(256) { gateway.recordAborted(RequestFingerprint("$index-$it"), runOfTarget("e$index")) }
+                    }
+                    delay(100.milliseconds)
+                    exchangeReports(gateways, 20.milliseconds, 1.minutes)
+                    exchangeReports(gateways, 20.milliseconds, 1.minutes) shouldBe 0
+                }
+            }
+
             // Guards against reports that circulate without end, with a log line each.
             it("end, however many there are") {
                 runTest {
