Send a path and query to the target with the bytes that the caller sent

What callers saw: a target read other bytes than were sent if a path or query had raw bytes beyond ASCII; c3 a9 arrived as c3 83 c2 a9. Cause: the decoder of requests makes one character of each byte, and the encoder of requests writes UTF-8. Fix: an encoder that writes one byte for each character. The codec of the target's connection does not allow another encoder, so that TargetCodec takes its place; a response to HEAD still has no body. The stand-in target reads heads as bytes, too; the parser that it used took them for UTF-8.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.suspendCancellableCoroutine
 import org.chestnutloom.time.Clock
@@ -62,7 +61,7 @@
             override fun initChannel(channel: SocketChannel) {
                 channel.pipeline().addLast(
                     ReceivedBytesHandler(connection),
-                    HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
+                    TargetCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
                     connection,
                 )
             }
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ReceivedRequest.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ReceivedRequest.kt
@@ -1,7 +1,7 @@
 package org.chestnutloom.fakes.edge
 
 /**
- * A request that a [ScriptedTarget] received.
+ * A request that a [ScriptedTarget] received; its texts have one character for each byte.
  *
  * @property target the HTTP request target: the path and query
  * @property headers the values by lowercase header name; of a repeated header, only the last value
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedTarget.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedTarget.kt
@@ -1,10 +1,5 @@
 package org.chestnutloom.fakes.edge
 
-import io.ktor.http.cio.Request
-import io.ktor.http.cio.parseRequest
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.jvm.javaio.toByteReadChannel
-import io.ktor.utils.io.readFully
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -12,7 +7,10 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.chestnutloom.fakes.StandIn
+import java.io.BufferedInputStream
+import java.io.ByteArrayOutputStream
 import java.io.IOException
+import java.io.InputStream
 import java.io.OutputStream
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -80,7 +78,7 @@
 
     private suspend fun serve(socket: Socket) {
         try {
-            val input = socket.getInputStream().toByteReadChannel()
+            val input = BufferedInputStream(socket.getInputStream())
             while (true) {
                 val request = read(input) ?: break
                 received += request
@@ -93,25 +91,29 @@
         }
     }
 
-    private suspend fun read(input: ByteReadChannel): ReceivedRequest? {
-        val head = parseRequest(input) ?: return null
-        val headers = headersOf(head)
-        val body = ByteArray(headers["content-length"]?.toInt() ?: 0)
-        input.readFully(body)
-        return ReceivedRequest(head.method.value, head.uri.toString(), headers, body)
+    private fun read(input: InputStream): ReceivedRequest? {
+        val requestLine = readLine(input) ?: return null
+        val headers = generateSequence { readLine(input) }.takeWhile { it.isNotEmpty() }.associate(::headerOf)
+        val bodyBytes = headers["content-length"]?.toInt() ?: 0
+        val body = input.readNBytes(bodyBytes)
+        if (body.size < bodyBytes) return null
+        val method = requestLine.substringBefore(' ')
+        val target = requestLine.substringAfter(' ').substringBeforeLast(' ')
+        return ReceivedRequest(method, target, headers, body)
     }
 
-    private fun headersOf(head: Request): Map<String, String> {
-        val headers = HashMap<String, String>()
-        for (index in 0 until head.headers.size) {
-            headers[
-                head.headers
-                    .nameAt(index)
-                    .toString()
-                    .lowercase(),
-            ] = head.headers.valueAt(index).toString()
+    private fun headerOf(line: String): Pair<String, String> =
+        line.substringBefore(':').lowercase() to line.substringAfter(':').trim(' ', '\t')
+
+    /** Returns the next line with each byte as one character, or null at the end of the connection. */
+    private fun readLine(input: InputStream): String? {
+        val bytes = ByteArrayOutputStream()
+        while (true) {
+            val byte = input.read()
+            if (byte < 0) return null
+            if (byte == '\n'.code) return bytes.toString(Charsets.ISO_8859_1).removeSuffix("\r")
+            bytes.write(byte)
         }
-        return headers
     }
 
     private suspend fun respond(
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RawCaller.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RawCaller.kt
@@ -50,10 +50,13 @@
         }
 
     /** Sends [text] and reads until the connection is closed or reset. */
-    suspend fun exchange(text: String): RawResponse =
+    suspend fun exchange(text: String): RawResponse = exchange(text.encodeToByteArray())
+
+    /** Sends [bytes] and reads until the connection is closed or reset. */
+    suspend fun exchange(bytes: ByteArray): RawResponse =
         withContext(Dispatchers.IO) {
             Socket(InetAddress.getLoopbackAddress(), port).use { socket ->
-                socket.getOutputStream().write(text.encodeToByteArray())
+                socket.getOutputStream().write(bytes)
                 socket.getOutputStream().flush()
                 RawResponse(readAll(socket))
             }
