--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
@@ -11,7 +11,6 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpRequestEncoder
 import jdk.net.ExtendedSocketOptions
 import kotlinx.collections.immutable.ImmutableSet
 import kotlinx.collections.immutable.persistentSetOf
@@ -81,7 +80,7 @@
                 channel.pipeline().addLast(
                     ReceivedBytesHandler(connection),
                     decoder,
-                    HttpRequestEncoder(),
+                    ByteExactRequestEncoder(),
                     connection,
                 )
             }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/http/ScriptedConnection.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/http/ScriptedConnection.kt
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.coroutines.channels.ReceiveChannel
@@ -23,7 +22,7 @@
 
     /** With the handlers of [HttpConnector]. */
     private val channel =
-        EmbeddedChannel(ReceivedBytesHandler(connection), decoder, HttpRequestEncoder(), connection)
+        EmbeddedChannel(ReceivedBytesHandler(connection), decoder, ByteExactRequestEncoder(), connection)
 
     /** Returns the first fault of the connection, or null if it has none. */
     fun fault(): String? =
