Wait for the closed port before a crashed stand-in listens again

A caller may have its whole response while the stand-in still closes its port, so that the port could not be bound again: one of 48 tests of CutResponseSpec failed once with a BindException, beside other builds, at the cut behind the last byte of a response with a length. listenAgain now waits for the thread that accepts, as the crash itself does.

--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedTarget.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedTarget.kt
@@ -67,9 +67,11 @@
     }
 
     /** Listens on the same port again after [ConnectionAction.CRASH]; without effect while the target listens. */
-    @Synchronized
-    public fun listenAgain() {
-        if (serverSocket?.isClosed == true) listen(port)
+    public suspend fun listenAgain() {
+        if (serverSocket?.isClosed != true) return
+        // A caller may have its whole response while the port is still being closed.
+        accepting?.join()
+        listen(port)
     }
 
     private fun listen(onPort: Int) {
