Wait for all bytes of a stand-in before the next request of the idle test

The wait for the extra bytes could end as soon as a part was written, so that the next request came first. The test now counts the bytes that its target has to write.

--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/StutteredResponseSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/StutteredResponseSpec.kt
@@ -61,20 +61,18 @@
             // Guards against a status line that is joined to the headers of the next response.
             it("that arrives while its connection is idle has no effect on the next response") {
                 var extra = ""
+                var bytesToWrite = 0L
                 val target =
                     fleet.target("i-1") {
-                        if (isFirst(it)) {
-                            ScriptedResponse(listOf(success(it), extra), pause = 5.milliseconds)
-                        } else {
-                            ScriptedResponse(listOf(failure(it)))
-                        }
+                        val chunks = if (isFirst(it)) listOf(success(it), extra) else listOf(failure(it))
+                        bytesToWrite += chunks.sumOf { chunk -> chunk.length }
+                        ScriptedResponse(chunks, pause = 5.milliseconds)
                     }
                 val caller = fleet.caller()
                 LATE_SUCCESS.beginnings().forEachIndexed { index, beginning ->
                     extra = beginning
-                    val writtenBefore = target.writtenBytes
                     caller.send("POST", "/pay/$index-first").body shouldBe "own"
-                    eventually { target.writtenBytes > writtenBefore + beginning.length }
+                    eventually { target.writtenBytes == bytesToWrite }
                     delay(15.milliseconds)
                     withClue(beginning) { shouldNotBeMixed(caller.send("POST", "/pay/$index")) }
                 }
