Show that a response to HEAD may name a length without a body

The codec of a target's connection has to know which responses have no body, and the test for served methods did not reach that: its response to HEAD named the length 0. Now it names 3, and the next requests go out on the same connection.

--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RequestMethodSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RequestMethodSpec.kt
@@ -4,6 +4,8 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import org.chestnutloom.fakes.edge.ScriptedResponse
+import org.chestnutloom.fakes.edge.responseHead
 import org.chestnutloom.fakes.edge.signedResponse
 
 class RequestMethodSpec :
@@ -17,7 +19,11 @@
 
         describe("a request's method") {
             it("is forwarded unchanged if it is served") {
-                val target = fleet.target("i-1") { signedResponse(it, if (it.method == "HEAD") "" else "own") }
+                val target =
+                    fleet.target("i-1") {
+                        val withoutBody = ScriptedResponse(listOf(responseHead(it) + "Content-Length: 3\r\n\r\n"))
+                        if (it.method == "HEAD") withoutBody else signedResponse(it, "own")
+                    }
                 val caller = fleet.caller()
                 repeat(2) { served.forEach { caller.send(it, "/plain/$it").status shouldBe 200 } }
                 target.received.map { it.method } shouldBe served + served
