Show that silent connections to the store keep a dropped route in use and refuse turns

Once all open connections to the store go silent while new ones work, a dropped route is served for 3.9 s after the change, where 2 s are allowed, and a turn is refused with 503 after a second.

--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
@@ -13,6 +13,11 @@
 import org.chestnutloom.fakes.edge.RowStoreStandIn
 import org.chestnutloom.fakes.edge.ScriptedResponse
 import org.chestnutloom.fakes.edge.ScriptedTarget
+import org.chestnutloom.fakes.proxy.FaultProxy
+import org.chestnutloom.fakes.proxy.LinkFault
+import org.chestnutloom.fakes.proxy.LinkFaultMode
+import org.chestnutloom.fakes.proxy.LinkSpec
+import org.chestnutloom.fakes.proxy.faultProxy
 import org.chestnutloom.id.GatewayId
 import org.chestnutloom.id.Incarnation
 import org.chestnutloom.time.systemClock
@@ -32,6 +37,8 @@
     private val targets = ArrayList<ScriptedTarget>()
     private val nodes = LinkedHashMap<String, Node>()
     private var startCount = 0
+    private var storeProxy: FaultProxy? = null
+    private var storeProxyPort = 0
 
     /** The grace period for the graceful shutdown of gateways that are started later. */
     var gracePeriod: Duration = 8.seconds
@@ -43,9 +50,23 @@
     suspend fun stop() {
         nodes.values.forEach { it.stopGracefully() }
         targets.forEach { it.stop() }
+        storeProxy?.stop()
         store.stop()
     }
 
+    /** Makes gateways that are started later reach the store through a proxy. */
+    suspend fun proxyStore() {
+        val proxy = faultProxy()
+        storeProxy = proxy
+        proxy.start()
+        storeProxyPort = proxy.open(LinkSpec(STORE_LINK, targetHost = "127.0.0.1", targetPort = store.port)).port
+    }
+
+    /** Makes all open connections through the proxy to the store silent for good, while new ones work. */
+    fun silenceStoreConnections() {
+        checkNotNull(storeProxy).set(STORE_LINK, LinkFault(LinkFaultMode.SILENT))
+    }
+
     /** Starts gateway [name] and returns its HTTP port. */
     suspend fun gateway(name: String): Int {
         val node = edgeNode(settingsOf(name), platformAdapter(), systemClock(), SimpleMeterRegistry())
@@ -127,7 +148,7 @@
                 ),
             callerAddress = PeerAddress("127.0.0.1", 0),
             healthAddress = PeerAddress("127.0.0.1", 0),
-            storeAddress = PeerAddress("127.0.0.1", store.port),
+            storeAddress = PeerAddress("127.0.0.1", if (storeProxy == null) store.port else storeProxyPort),
             rowBytes = 65_536,
             unreadyPeriod = 50.milliseconds,
             gracePeriod = gracePeriod,
@@ -149,6 +170,7 @@
     companion object {
         /** Below the ports that the system assigns to connections, so that none takes a port before its gateway does. */
         private val PORTS = 20_000..32_000
+        private const val STORE_LINK = "store"
 
         const val PLAIN = EdgeEnvironment.PLAIN
         const val LLM = EdgeEnvironment.LLM
