Open a new connection to the store while a response on an old one is late

Cause: a watch showed the silence only when it timed out after 1.8 s, and the next one took the next pooled connection, which had gone silent at the same moment; the same holds for a claim and its hedged call. A watch without a response half a second after its wait is followed by one that does not wait.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
@@ -20,10 +20,30 @@
     private val idle = ArrayDeque<HttpConnection>()
     private var isClosed = false
 
-    /** Returns the most recently used idle connection, or opens a new one. */
+    private var suspicion = IdleSuspicion.NONE
+
+    /** Returns the most recently used idle connection that is not suspected, or opens a new one. */
     public suspend fun acquire(): Either<ConnectFailure, HttpConnection> {
-        takeIdle()?.let { return it.right() }
-        return connector.connect(address)
+        takeIdle(suspicion.lastUsedBefore)?.let { return it.right() }
+        val opened = connector.connect(address)
+        if (opened.isRight() || suspicion === IdleSuspicion.NONE) return opened
+        // A slow server may still respond where opening a connection takes too long.
+        return takeIdle(Duration.ZERO)?.right() ?: opened
+    }
+
+    /**
+     * Suspects the idle connections that have been idle for at least [idleTime] to be silent, as connections that are
+     * open at the same time tend to go silent together.
+     */
+    public fun suspectIdle(idleTime: Duration): IdleSuspicion {
+        val earlier = if (suspicion === IdleSuspicion.NONE) null else suspicion.lastUsedBefore
+        return IdleSuspicion(clock.elapsed() - idleTime, earlier).also { suspicion = it }
+    }
+
+    /** Returns to the suspicion before [withdrawn], unless there is a later one. */
+    public fun withdraw(withdrawn: IdleSuspicion) {
+        if (suspicion !== withdrawn) return
+        suspicion = withdrawn.earlierLastUsedBefore?.let { IdleSuspicion(it, null) } ?: IdleSuspicion.NONE
     }
 
     /** Returns [connection] to the pool after its exchange. */
@@ -52,9 +72,12 @@
         idle.clear()
     }
 
-    private fun takeIdle(): HttpConnection? {
+    /** Takes the most recently used idle connection if its last exchange completed at [usedSince] or later. */
+    private fun takeIdle(usedSince: Duration): HttpConnection? {
         while (true) {
-            val connection = idle.removeLastOrNull() ?: return null
+            val connection = idle.lastOrNull() ?: return null
+            if (connection.idleSince < usedSince) return null
+            idle.removeLast()
             if (connection.isReusable && !isExpired(connection)) return connection
             connection.close()
         }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/store/HedgedRowStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/store/HedgedRowStore.kt
@@ -26,11 +26,22 @@
 
     override suspend fun change(change: RowChange): Either<ChangeFailure, Long> = hedged { store.change(change) }
 
+    /** The second watch does not wait for a change, so that it responds before the first one times out. */
     override suspend fun watch(
         table: String,
         version: Long,
         wait: Duration,
-    ): Either<WatchFailure, RowSnapshot> = store.watch(table, version, wait)
+    ): Either<WatchFailure, RowSnapshot> =
+        coroutineScope {
+            val first = async { store.watch(table, version, wait) }
+            val response = withTimeoutOrNull(wait + WATCH_HEDGE_DELAY) { first.await() }
+            if (response != null) return@coroutineScope response
+            val second = async { store.watch(table, version, Duration.ZERO) }
+            select {
+                first.onAwait { it }
+                second.onAwait { if (it.leftOrNull() is WatchFailure.Failed) first.await() else it }
+            }.also { coroutineContext.cancelChildren() }
+        }
 
     private suspend fun <T : Any> hedged(call: suspend () -> T): T =
         coroutineScope {
@@ -47,5 +58,8 @@
     private companion object {
         /** Well above the normal latency of the store. A slower store gets every read and change twice. */
         private val HEDGE_DELAY = 200.milliseconds
+
+        /** Above the latency of a slow store, and short enough for a change to take effect in its time. */
+        private val WATCH_HEDGE_DELAY = 500.milliseconds
     }
 }
