Take a removed target that goes on listening for alive

What callers could see: a whole response without a length is broken off, as its target has removed its row and serves on, as some targets do before they exit. Only a row that changes between the end of the connection and the probe now counts as another run.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/ListeningProbe.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/ListeningProbe.kt
@@ -29,10 +29,13 @@
 
     private fun start(target: Target): Deferred<Boolean> =
         scope.async {
+            // A target that leaves may serve on after its row was removed; only a removal meanwhile may be another run.
+            val wasRemoved = target.isRemoved
+            val isSameRun = { target.isRemoved == wasRemoved }
             delay(JOIN_PERIOD)
             joinable.remove(target)
             delay(PAUSE)
-            val isAlive = !target.isRemoved && connect(target) && !target.isRemoved
+            val isAlive = isSameRun() && connect(target) && isSameRun()
             logger.event("target_probed", "target" to target.entry.id, "alive" to isAlive)
             isAlive
         }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/target/ListeningProbeSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/target/ListeningProbeSpec.kt
@@ -81,6 +81,16 @@
                 }
             }
 
+            // Guards against a whole response that is broken off because its target leaves and has removed its row.
+            it("finds it alive if it goes on serving after its row was removed") {
+                runTest {
+                    val fixture = ProbeFixture(this, loop)
+                    val leaving = fixture.register(1)
+                    fixture.directory.remove(ID)
+                    fixture.probe.isAlive(leaving) shouldBe true
+                }
+            }
+
             // Guards against a target that has started again and listens at the address of the run that was killed.
             it("does not take another run of it for the one whose connection has ended") {
                 runTest {
