Pass on a response to HEAD without a body, and with the length that the target sent

What callers saw: a length of 0 for a resource that has one, in responses to HEAD and with status 304. On streaming routes a response to HEAD was followed by a last chunk, which stood in front of the next response on the caller's connection. Cause: the gateway framed anew what has no body: it set the length of what it had buffered, and relayed HEAD as a stream. Fix: a response to HEAD is never a stream, and its length, like that of 304, stays as the target sent it. Evidence: found by reading.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
@@ -139,7 +139,8 @@
         head: ResponseHead,
         parts: ReceiveChannel<ResponsePart>,
     ): ReadResult {
-        val isStream = call.route.kind == RouteKind.STREAMING && head.isSuccess
+        val hasBody = call.request.method != HttpMethod.HEAD.name()
+        val isStream = call.route.kind == RouteKind.STREAMING && head.isSuccess && hasBody
         return when {
             head.isNotRun -> ReadResult(AttemptResult.NotRun("target status ${head.status}"), relay.drain(parts))
             head.isSuccess && !head.isSigned -> lostResponse("response has no signature")
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
@@ -166,7 +166,8 @@
     private fun handleNext() {
         val request = pending.removeFirstOrNull() ?: return pendingRejection?.let(::sendRejection) ?: startIdleTimeout()
         context.channel().config().isAutoRead = true
-        val exchange = IngressExchange(context, registry, wantsKeepAlive(request)) { onExchangeEnded() }
+        val isHead = request.method == HttpMethod.HEAD.name()
+        val exchange = IngressExchange(context, registry, wantsKeepAlive(request), isHead) { onExchangeEnded() }
         current = exchange
         currentJob =
             scope.launch(start = CoroutineStart.UNDISPATCHED) {
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressExchange.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressExchange.kt
@@ -16,11 +16,16 @@
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.CompletableDeferred
 
-/** The response to one request on an [IngressConnection]. */
+/**
+ * The response to one request on an [IngressConnection].
+ *
+ * @property isHeadRequest whether the request is a `HEAD` request, whose response has the length of a body but no body
+ */
 internal class IngressExchange(
     private val context: ChannelHandlerContext,
     private val registry: IngressRegistry,
     private val wantsKeepAlive: Boolean,
+    private val isHeadRequest: Boolean,
     private val onEnded: () -> Unit,
 ) : CallerExchange {
     private var writabilityChange = CompletableDeferred<Unit>()
@@ -49,7 +54,7 @@
         val content = Unpooled.wrappedBuffer(body)
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content)
         response.headers().add(headers)
-        HttpUtil.setContentLength(response, body.size.toLong())
+        if (!isLengthOfOtherBody(status)) HttpUtil.setContentLength(response, body.size.toLong())
         setConnectionHeader(response)
         end(ResponseEnding.LENGTH, context.writeAndFlush(response))
     }
@@ -106,6 +111,10 @@
         writabilityChange.complete(Unit)
     }
 
+    /** Returns whether a length in the headers is that of the body which a `GET` request would get. */
+    private fun isLengthOfOtherBody(status: Int): Boolean =
+        isHeadRequest || status == HttpResponseStatus.NOT_MODIFIED.code()
+
     private fun setConnectionHeader(response: HttpResponse) {
         isLastOnConnection = !wantsKeepAlive || registry.isShuttingDown
         if (isLastOnConnection) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RequestMethodSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RequestMethodSpec.kt
@@ -4,6 +4,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldStartWith
 import org.chestnutloom.fakes.edge.ScriptedResponse
 import org.chestnutloom.fakes.edge.responseHead
 import org.chestnutloom.fakes.edge.signedResponse
@@ -30,6 +31,32 @@
                 target.connections shouldBe 1
             }
 
+            // Guards against a last chunk behind a response to HEAD, and against a length of 0 for a resource that has one.
+            it("of HEAD gets the length that the target sent, and nothing ahead of the next response") {
+                for (service in listOf(EdgeFleet.PLAIN, EdgeFleet.LLM)) {
+                    fleet.target("$service-1", service) {
+                        val framing =
+                            if (service ==
+                                EdgeFleet.LLM
+                            ) {
+                                "Transfer-Encoding: chunked"
+                            } else {
+                                "Content-Length: 3"
+                            }
+                        val withoutBody = ScriptedResponse(listOf(responseHead(it) + "$framing\r\n\r\n"))
+                        if (it.method == "HEAD") withoutBody else signedResponse(it, "own")
+                    }
+                }
+                val caller = fleet.caller()
+                for ((path, length) in listOf("/plain/1" to "3", "/chat/1" to null)) {
+                    val head = "Host: a.example\r\nAuthorization: Token key-a\r\nChestnutloom-Attempt-Id: $path"
+                    val next = "GET /plain/2 HTTP/1.1\r\n$head-2\r\nConnection: close\r\n\r\n"
+                    val response = caller.exchange("HEAD $path HTTP/1.1\r\n$head\r\n\r\n$next")
+                    response.header("Content-Length") shouldBe length
+                    response.text.substringAfter("\r\n\r\n") shouldStartWith "HTTP/1.1 200 OK\r\n"
+                }
+            }
+
             // Guards against a CONNECT request that reached a target and left its pooled connection unusable.
             it("does not make a target's connection unusable") {
                 val target = fleet.target("i-1") { signedResponse(it, "own") }
