Fail a HEAD request's exchange on a late response to another request

What callers could see: 200 where the target answered 500. While a response to HEAD is expected, the decoder takes every response for one without a body; the body of a late response to an earlier request then reads as a response of its own. Fix: a response that is skipped during such an exchange fails it, since its end is unknown. Evidence: found by reading.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -152,7 +152,9 @@
         active.framing = framingOf(response)
         if (active.isSkipping || !HttpUtil.isKeepAlive(response)) isUsable = false
         if (active.isSkipping) {
-            if (!active.isDelimited) failAndClose("server sent a response to another request whose end is unknown")
+            // The body of a response to another request is not decoded while one to HEAD is expected.
+            val isEndKnown = active.isDelimited && !decoder.isHeadRequest
+            if (!isEndKnown) failAndClose("server sent a response to another request whose end is unknown")
             return
         }
         if (!active.isDelimited) isUsable = false
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/StutteredResponseSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/StutteredResponseSpec.kt
@@ -239,6 +239,20 @@
                 target.received.size shouldBe 2
             }
 
+            // Guards against the body of a late response that is taken for the response to HEAD behind it.
+            it("fails the exchange of a HEAD request, since its body is not decoded then") {
+                fleet.target("i-1") {
+                    val body = responseHead(it) + "Content-Length: 0\r\n\r\n"
+                    val lateHead = "HTTP/1.1 200 OK\r\nChestnutloom-Attempt-Id: old\r\n"
+                    val late = lateHead + "Content-Length: ${body.length}\r\n\r\n"
+                    val own = responseHead(it, "500 Error") + "Content-Length: 3\r\n\r\n"
+                    ScriptedResponse(listOf(if (isFirst(it)) success(it) else late + body + own))
+                }
+                val caller = fleet.caller()
+                caller.send("POST", "/pay/1-first").body shouldBe "own"
+                caller.send("HEAD", "/pay/1").status shouldBe 502
+            }
+
             it("that has no body is skipped") {
                 val late = "HTTP/1.1 204 No Content\r\nChestnutloom-Attempt-Id: old\r\n\r\n"
                 fleet.target("i-1") { ScriptedResponse(listOf(if (isFirst(it)) success(it) else late + success(it))) }
