Close unused connections in the time that the target states

What callers could see: 502, since a request was sent on a connection that the target was just closing. Fix: the pool remembers the idle timeout that the server stated last. Evidence: found by reading.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
@@ -23,6 +23,9 @@
 
     private var suspicion = IdleSuspicion.NONE
 
+    /** The idle timeout that the server stated last, which holds for connections that were not used yet as well. */
+    private var statedTimeout: Duration? = null
+
     /** Returns the most recently used idle connection that is not suspected, or opens a new one. */
     public suspend fun acquire(): Either<ConnectFailure, HttpConnection> {
         takeIdle(suspicion.lastUsedBefore)?.let { return it.right() }
@@ -57,6 +60,7 @@
     /** Returns [connection] to the pool after its exchange. */
     public fun release(connection: HttpConnection) {
         if (isClosed) return connection.close()
+        connection.keepAliveTimeout?.let { statedTimeout = it }
         idle.addLast(connection)
         scope.launch { closeAfterIdleTimeout(connection) }
     }
@@ -96,7 +100,7 @@
 
     /** Returns less than the server's own timeout, so that no request races with the server closing the connection. */
     private fun idleTimeout(connection: HttpConnection): Duration {
-        val serverTimeout = connection.keepAliveTimeout ?: return DEFAULT_IDLE_TIMEOUT
+        val serverTimeout = connection.keepAliveTimeout ?: statedTimeout ?: return DEFAULT_IDLE_TIMEOUT
         return serverTimeout * IDLE_TIMEOUT_FRACTION
     }
 
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/UndelimitedResponseSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/UndelimitedResponseSpec.kt
@@ -145,6 +145,31 @@
             }
         }
 
+        describe("the connection that was opened to see whether a target goes on listening") {
+            // Guards against a request on a connection that its target closes sooner than the gateway expects.
+            it("is not used after the time that the target states for idle connections") {
+                val target =
+                    fleet.target("i-1") { request ->
+                        val stated = responseHead(request) + "Keep-Alive: timeout=1\r\nContent-Length: 5\r\n\r\nwhole"
+                        val isWhole = request.target.endsWith("/whole")
+                        if (isWhole) {
+                            ScriptedResponse(
+                                listOf(stated),
+                            )
+                        } else {
+                            undelimited(request, listOf("end"), ConnectionAction.CLOSE)
+                        }
+                    }
+                val caller = caller()
+                caller.send("POST", "/pay/whole").body shouldBe "whole"
+                caller.send("POST", "/pay/end").body shouldBe "end"
+                target.connections shouldBe 2
+                delay(1.seconds)
+                caller.send("POST", "/pay/whole").body shouldBe "whole"
+                target.connections shouldBe 3
+            }
+        }
+
         describe("a response without a body") {
             listOf("POST" to "204 No Content", "POST" to "304 Not Modified", "HEAD" to "200 OK")
                 .forEach { (method, status) ->
