Wait for the second watch when the first one fails

What could happen: a change took effect later, since the timeout of a watch on a silent connection ended the second watch on a new one that was about to respond. Fix: the failure of either watch waits for the other. HedgedRowStoreSpec, the new test: failed before, passes, as do the others (virtual time).

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/store/HedgedRowStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/store/HedgedRowStore.kt
@@ -38,7 +38,7 @@
             if (response != null) return@coroutineScope response
             val second = async { store.watch(table, version, Duration.ZERO) }
             select {
-                first.onAwait { it }
+                first.onAwait { if (it.leftOrNull() is WatchFailure.Failed) second.await() else it }
                 second.onAwait { if (it.leftOrNull() is WatchFailure.Failed) first.await() else it }
             }.also { coroutineContext.cancelChildren() }
         }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/store/HedgedRowStoreSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/store/HedgedRowStoreSpec.kt
@@ -67,6 +67,18 @@
                 }
             }
 
+            // Guards against a silent connection whose timeout ends the call on a new one that is about to respond.
+            it("that fails does not end the second one") {
+                runTest {
+                    val failing: suspend () -> Either<WatchFailure, RowSnapshot> = {
+                        delay(1_800.milliseconds)
+                        UNAVAILABLE
+                    }
+                    val store = WatchedRowStore(listOf(failing, { after(600.milliseconds, 2) }))
+                    HedgedRowStore(store).watch("t", 0, WAIT).getOrNull()?.version shouldBe 2
+                }
+            }
+
             // Guards against a slow store that rejects the second call, after which the whole table is read again.
             it("is not ended by the failure of the second one") {
                 runTest {
