Move the suspicion of silent connections into the connection pool

The pool reads a response that is due and suspects its idle connections by itself, so that three of its members are private now. Behaviour is the same: SilentStoreSpec, HedgedRowStoreSpec, PlatformRowStoreSpec, UndelimitedResponseSpec and MembershipSpec pass.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
@@ -4,6 +4,7 @@
 import arrow.core.getOrElse
 import arrow.core.right
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.chestnutloom.time.Clock
@@ -36,19 +37,28 @@
     }
 
     /**
-     * Suspects the idle connections that have been idle for at least [idleTime] to be silent, as connections that are
-     * open at the same time tend to go silent together.
+     * Returns what [read] reads of a response that is due after [wait].
+     *
+     * While it is late, the connections on which nothing has arrived since it was due are not used for other requests,
+     * as connections that are open at the same time tend to go silent together. Null means that it did not arrive.
      */
-    public fun suspectIdle(idleTime: Duration): IdleSuspicion {
-        val earlier = if (suspicion === IdleSuspicion.NONE) null else suspicion.lastUsedBefore
-        return IdleSuspicion(clock.elapsed() - idleTime, earlier).also { suspicion = it }
-    }
-
-    /** Returns to the suspicion before [withdrawn], unless there is a later one. */
-    public fun withdraw(withdrawn: IdleSuspicion) {
-        if (suspicion !== withdrawn) return
-        suspicion = withdrawn.earlierLastUsedBefore?.let { IdleSuspicion(it, null) } ?: IdleSuspicion.NONE
-    }
+    public suspend fun <T : Any> whileDueIn(
+        wait: Duration,
+        read: suspend () -> T?,
+    ): T? =
+        coroutineScope {
+            var suspected: IdleSuspicion? = null
+            val lateness =
+                launch {
+                    delay(wait + LATE_AFTER)
+                    suspected = suspectIdle(LATE_AFTER)
+                }
+            val response = read()
+            lateness.cancel()
+            // The connection was slow, not silent.
+            if (response != null) suspected?.let(::withdraw)
+            response
+        }
 
     /** Opens a connection for a later request, and returns whether the server accepted it. */
     public suspend fun addIdle(): Boolean {
@@ -84,6 +94,18 @@
         idle.clear()
     }
 
+    /** Suspects the connections that have been idle for at least [idleTime] to be silent. */
+    private fun suspectIdle(idleTime: Duration): IdleSuspicion {
+        val earlier = if (suspicion === IdleSuspicion.NONE) null else suspicion.lastUsedBefore
+        return IdleSuspicion(clock.elapsed() - idleTime, earlier).also { suspicion = it }
+    }
+
+    /** Returns to the suspicion before [withdrawn], unless there is a later one. */
+    private fun withdraw(withdrawn: IdleSuspicion) {
+        if (suspicion !== withdrawn) return
+        suspicion = withdrawn.earlierLastUsedBefore?.let { IdleSuspicion(it, null) } ?: IdleSuspicion.NONE
+    }
+
     /** Takes the most recently used idle connection if its last exchange completed at [usedSince] or later. */
     private fun takeIdle(usedSince: Duration): HttpConnection? {
         while (true) {
@@ -111,6 +133,9 @@
     }
 
     private companion object {
+        /** Above the normal latency of a server, and less than the time after which calls to the store are hedged. */
+        private val LATE_AFTER = 150.milliseconds
+
         /** For servers that send no `Keep-Alive` header, since they may still close idle connections. */
         private val DEFAULT_IDLE_TIMEOUT = 4_000.milliseconds
         private const val IDLE_TIMEOUT_FRACTION = 0.7
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IdleSuspicion.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IdleSuspicion.kt
@@ -8,11 +8,11 @@
  * @property lastUsedBefore monotonic time; connections whose last exchange completed before it are suspected
  * @property earlierLastUsedBefore the same of the suspicion before, or null if there was none
  */
-public class IdleSuspicion internal constructor(
-    internal val lastUsedBefore: Duration,
-    internal val earlierLastUsedBefore: Duration?,
+internal class IdleSuspicion(
+    val lastUsedBefore: Duration,
+    val earlierLastUsedBefore: Duration?,
 ) {
-    internal companion object {
+    companion object {
         val NONE = IdleSuspicion(Duration.ZERO, null)
     }
 }
