Log how a target's response ended by its framing and by its events

It now has framing and content; target_probed says how long a probe took and whether the target's row had been removed before. No decision changes.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -279,11 +279,15 @@
             "outcome" to context.outcome,
             "detail" to context.detail,
             "ending" to context.ending.name.lowercase(),
-            "evidence" to (context.evidence?.name?.lowercase() ?: "none"),
+            "framing" to labelOf(context.framing),
+            "content" to labelOf(context.content),
+            "evidence" to labelOf(context.evidence),
             "took_ms" to (clock.elapsed() - context.startedAt).inWholeMilliseconds,
         )
     }
 
+    private fun labelOf(value: Enum<*>?): String = value?.name?.lowercase() ?: "none"
+
     private companion object {
         /** A request over its account's rate waits for at most the caller's timeout divided by this number. */
         private const val RATE_LIMIT_WAIT_DIVISOR = 4
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RequestLogContext.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RequestLogContext.kt
@@ -3,6 +3,7 @@
 import org.chestnutloom.edge.config.AccountSettings
 import org.chestnutloom.edge.config.Route
 import org.chestnutloom.edge.http.ResponseEnding
+import org.chestnutloom.edge.http.ResponseFraming
 import org.chestnutloom.edge.quota.QuotaGrant
 import kotlin.time.Duration
 
@@ -25,6 +26,14 @@
     /** How the response to the caller ended. */
     var ending: ResponseEnding = ResponseEnding.NONE
 
+    /** How the end of the last response that ended was recognized, or null if none has ended. */
+    val framing: ResponseFraming?
+        get() = call?.bodyEvidence?.framing
+
+    /** How the content of the last response that ended ends, or null if none has ended. */
+    val content: ContentEnd?
+        get() = call?.bodyEvidence?.content
+
     /** Why the relayed response counts as complete, or null if it does not. */
     val evidence: CompletionEvidence?
         get() = (call?.bodyEnd as? BodyEnd.Complete)?.evidence
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseHead.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseHead.kt
@@ -1,6 +1,10 @@
 package org.chestnutloom.edge.call
 
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.util.AsciiString
 
 /**
  * The status and headers of a target's response.
@@ -23,6 +27,13 @@
     public val isSuccess: Boolean
         get() = status in SUCCESS_STATUSES
 
+    /** Whether the body is an event stream, or null if the target states no type. */
+    public val isEventStream: Boolean?
+        get() {
+            val type = headers.get(HttpHeaderNames.CONTENT_TYPE) ?: return null
+            return AsciiString.contentEqualsIgnoreCase(HttpUtil.getMimeType(type), HttpHeaderValues.TEXT_EVENT_STREAM)
+        }
+
     private companion object {
         private val SUCCESS_STATUSES = 200..299
     }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
@@ -39,15 +39,26 @@
                 ?: return timedOutResponse()
         return when (collected) {
             is CollectedBody.Complete -> respondIfComplete(call, target, head, collected)
-            is CollectedBody.TooLarge -> {
-                call.exchange.start(head.status, head.headers)
-                call.exchange.send(collected.body)
-                finishResponse(call, head, relayUntilDeadline(call, target, connection, parts, events = null))
-            }
+            is CollectedBody.TooLarge -> relayRest(call, target, connection, head, collected, parts)
             is CollectedBody.Aborted -> lostResponse(collected.cause)
         }
     }
 
+    /** Relays a response that is too large to buffer: the [collected] part, and the others as they arrive. */
+    private suspend fun relayRest(
+        call: RoutedCall,
+        target: Target,
+        connection: HttpConnection,
+        head: ResponseHead,
+        collected: CollectedBody.TooLarge,
+        parts: ReceiveChannel<ResponsePart>,
+    ): ReadResult {
+        val content = BodyContent(events = null, isEventStream = false)
+        call.exchange.start(head.status, head.headers)
+        call.exchange.send(collected.body)
+        return finishResponse(call, head, relayUntilDeadline(call, target, connection, parts, content))
+    }
+
     /** Responds with the whole body, unless nothing shows that it is whole. */
     private suspend fun respondIfComplete(
         call: RoutedCall,
@@ -55,6 +66,9 @@
         head: ResponseHead,
         collected: CollectedBody.Complete,
     ): ReadResult {
+        val content = plainContent(head)
+        content.read(collected.body)
+        call.bodyEvidence = BodyEvidence(collected.end.framing, content.end)
         val end =
             withTimeoutOrNull(call.deadline - clock.elapsed()) {
                 check.check(target, collected.end, events = null)
@@ -78,13 +92,14 @@
         parts: ReceiveChannel<ResponsePart>,
     ): ReadResult {
         val events = EventStreamParser(collectsData = call.route.isRetained)
+        val content = BodyContent(events, isEventStream = head.isEventStream ?: true)
         target.cache.add(call.head.prompt)
         // With a length, the response to a turn would look complete with its last byte, before the turn is durable.
         if (call.chain != null) head.headers.remove(HttpHeaderNames.CONTENT_LENGTH)
         call.exchange.start(head.status, head.headers)
         var end: BodyEnd? = null
         try {
-            end = relayUntilDeadline(call, target, connection, parts, events)
+            end = relayUntilDeadline(call, target, connection, parts, content)
         } finally {
             settleReservation(call, events, isComplete = end is BodyEnd.Complete)
         }
@@ -110,11 +125,11 @@
         target: Target,
         connection: HttpConnection,
         parts: ReceiveChannel<ResponsePart>,
-        events: EventStreamParser?,
+        content: BodyContent,
     ): BodyEnd {
         val end =
             withTimeoutOrNull(call.callerDeadline - clock.elapsed()) {
-                relayParts(call, target, connection, parts, events)
+                relayParts(call, target, connection, parts, content)
             } ?: BodyEnd.Broken("deadline passed before the response ended")
         call.bodyEnd = end
         if (end is BodyEnd.Broken) logBroken(call, end)
@@ -126,17 +141,20 @@
         target: Target,
         connection: HttpConnection,
         parts: ReceiveChannel<ResponsePart>,
-        events: EventStreamParser?,
+        content: BodyContent,
     ): BodyEnd {
         for (part in parts) {
             when (part) {
                 is ResponsePart.Data -> {
-                    events?.read(part.bytes)
-                    if (events?.isTooLarge == true) return BodyEnd.Broken("event or stream is too large")
+                    content.read(part.bytes)
+                    if (content.isTooLarge) return BodyEnd.Broken("event or stream is too large")
                     call.exchange.send(part.bytes)
                     applyBackpressure(call, connection)
                 }
-                is ResponsePart.End -> return check.check(target, part, events)
+                is ResponsePart.End -> {
+                    call.bodyEvidence = BodyEvidence(part.framing, content.end)
+                    return check.check(target, part, content.events)
+                }
                 is ResponsePart.Aborted -> return BodyEnd.Broken(part.cause)
                 is ResponsePart.Head -> return BodyEnd.Broken("unexpected second response head")
             }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
@@ -50,6 +50,9 @@
     /** The target to which the request was sent last. */
     var lastTarget: TargetId? = null
 
+    /** What the body of the last response that ended shows about its end, or null if none has ended. */
+    var bodyEvidence: BodyEvidence? = null
+
     /** How the body of the response that was relayed ended, or null if none was. */
     var bodyEnd: BodyEnd? = null
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/ListeningProbe.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/ListeningProbe.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import org.chestnutloom.common.log.event
+import org.chestnutloom.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
@@ -20,6 +21,7 @@
  */
 internal class ListeningProbe(
     private val scope: CoroutineScope,
+    private val clock: Clock,
     private val connect: suspend (Target) -> Boolean,
 ) : TargetLiveness {
     /** The probes that those who ask now may share, since their pause has not begun. */
@@ -29,6 +31,7 @@
 
     private fun start(target: Target): Deferred<Boolean> =
         scope.async {
+            val startedAt = clock.elapsed()
             // A target that leaves may serve on after its row was removed; only a removal meanwhile may be another run.
             val wasRemoved = target.isRemoved
             val isSameRun = { target.isRemoved == wasRemoved }
@@ -36,7 +39,13 @@
             joinable.remove(target)
             delay(PAUSE)
             val isAlive = isSameRun() && connect(target) && isSameRun()
-            logger.event("target_probed", "target" to target.entry.id, "alive" to isAlive)
+            logger.event(
+                "target_probed",
+                "target" to target.entry.id,
+                "alive" to isAlive,
+                "was_removed" to wasRemoved,
+                "took_ms" to (clock.elapsed() - startedAt).inWholeMilliseconds,
+            )
             isAlive
         }
 
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/target/ListeningProbeSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/target/ListeningProbeSpec.kt
@@ -31,7 +31,7 @@
     val directory = TargetDirectory(TargetFactory(connector, VirtualClock(test), test)) { 1_000L }
     val connectedAtMs = mutableListOf<Long>()
     val probe =
-        ListeningProbe(test) {
+        ListeningProbe(test, VirtualClock(test)) {
             connectedAtMs += test.currentTime
             test.currentTime < listensUntilMs
         }
