--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/FramedResponse.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/FramedResponse.kt
@@ -14,8 +14,9 @@
     private val framing: BodyFraming,
     private val pieces: List<String>,
     private val status: String = "200 OK",
+    contentType: String = "text/plain",
 ) {
-    private val head = responseHead(request, status) + "Content-Type: text/plain\r\n" + framingHeaders() + "\r\n"
+    private val head = responseHead(request, status) + "Content-Type: $contentType\r\n" + framingHeaders() + "\r\n"
     private val framedBody = framedBody()
 
     val text = head + framedBody
