Judge the end of a response by its framing and by its content

Cause: the end of the frame counted as the end of the content. CompletionCheck looked at the events only where the connection's end was the frame, and only on streaming routes; a buffered response, one too long to buffer, and one with a length or chunks were complete whatever their events said. A length was passed on besides, so that the caller had its whole frame before anything was checked.

Class of fault: completeness judged at one layer and told at another. Framing and content are now two pieces of evidence, judged together in CompletionCheck before anything is told or kept: no last chunk, length, turn or settled budget comes before. Whether a body is a stream is a matter of its Content-Type; a streaming call's response without a type counts as one. The length of a stream is not passed on. An unframed stream without any event has no evidence of an end and is broken off.

UndelimitedResponseSpec gave its plain bodies the type of an event stream, which by the users' page makes them streams that end inside an event. They have the type of text now; what the tests ask for is the same.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/BodyContent.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/BodyContent.kt
@@ -10,7 +10,7 @@
  */
 internal class BodyContent(
     val events: EventStreamParser?,
-    private val isEventStream: Boolean,
+    val isEventStream: Boolean,
 ) {
     /** How the content ends after the bytes that were read. */
     val end: ContentEnd
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CompletionCheck.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CompletionCheck.kt
@@ -1,39 +1,39 @@
 package org.chestnutloom.edge.call
 
 import org.chestnutloom.edge.http.ResponseFraming
-import org.chestnutloom.edge.http.ResponsePart
 import org.chestnutloom.edge.target.Target
 import org.chestnutloom.edge.target.TargetLiveness
-import org.chestnutloom.edge.turn.EventStreamParser
 
 /**
- * Decides whether a response that has ended counts as complete.
+ * Decides whether a response body that has ended counts as complete, before anything tells the caller so or keeps it.
  *
- * The end of its connection alone does not show that: a target that is killed closes its connections in the same way as
- * one that has sent everything.
+ * The framing and the content must both have come to their end; neither stands for the other, as a target may frame a
+ * part of a stream as the whole of it. The end of a connection alone does not show that the framing has come to its end:
+ * a target that is killed closes its connections in the same way as one that has sent everything.
  */
 internal class CompletionCheck(
     private val liveness: TargetLiveness,
 ) {
-    /** Returns whether the response that [target] ended with [end] is complete; [events] are null for a plain one. */
+    /** Returns whether the body that [target] ended with [evidence] is complete. */
     suspend fun check(
         target: Target,
-        end: ResponsePart.End,
-        events: EventStreamParser?,
-    ): BodyEnd =
-        when (end.framing) {
+        evidence: BodyEvidence,
+    ): BodyEnd {
+        if (evidence.framing == ResponseFraming.NO_BODY) return BodyEnd.Complete(CompletionEvidence.NO_BODY)
+        if (evidence.content == ContentEnd.INSIDE_EVENT) return BodyEnd.Broken("stream ended inside an event")
+        return when (evidence.framing) {
             ResponseFraming.LENGTH -> BodyEnd.Complete(CompletionEvidence.LENGTH)
             ResponseFraming.CHUNKS -> BodyEnd.Complete(CompletionEvidence.LAST_CHUNK)
-            ResponseFraming.NO_BODY -> BodyEnd.Complete(CompletionEvidence.NO_BODY)
-            ResponseFraming.CONNECTION -> checkConnectionEnd(target, events)
+            else -> checkConnectionEnd(target, evidence.content)
         }
+    }
 
     private suspend fun checkConnectionEnd(
         target: Target,
-        events: EventStreamParser?,
+        content: ContentEnd,
     ): BodyEnd =
         when {
-            events?.isInsideEvent == true -> BodyEnd.Broken("connection was closed inside an event")
+            content == ContentEnd.NO_EVENT -> BodyEnd.Broken("connection was closed before the first event")
             liveness.isAlive(target) -> BodyEnd.Complete(CompletionEvidence.TARGET_ALIVE)
             else -> BodyEnd.Broken("connection was closed, and the target may have been killed")
         }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
@@ -53,7 +53,9 @@
         collected: CollectedBody.TooLarge,
         parts: ReceiveChannel<ResponsePart>,
     ): ReadResult {
-        val content = BodyContent(events = null, isEventStream = false)
+        val content = plainContent(head)
+        content.read(collected.body)
+        removeStreamLength(head, content)
         call.exchange.start(head.status, head.headers)
         call.exchange.send(collected.body)
         return finishResponse(call, head, relayUntilDeadline(call, target, connection, parts, content))
@@ -68,10 +70,9 @@
     ): ReadResult {
         val content = plainContent(head)
         content.read(collected.body)
-        call.bodyEvidence = BodyEvidence(collected.end.framing, content.end)
         val end =
             withTimeoutOrNull(call.deadline - clock.elapsed()) {
-                check.check(target, collected.end, events = null)
+                checkEnd(call, target, collected.end, content)
             } ?: return timedOutResponse()
         if (end is BodyEnd.Broken) return lostResponse(end.cause)
         call.bodyEnd = end
@@ -96,6 +97,7 @@
         target.cache.add(call.head.prompt)
         // With a length, the response to a turn would look complete with its last byte, before the turn is durable.
         if (call.chain != null) head.headers.remove(HttpHeaderNames.CONTENT_LENGTH)
+        removeStreamLength(head, content)
         call.exchange.start(head.status, head.headers)
         var end: BodyEnd? = null
         try {
@@ -151,10 +153,7 @@
                     call.exchange.send(part.bytes)
                     applyBackpressure(call, connection)
                 }
-                is ResponsePart.End -> {
-                    call.bodyEvidence = BodyEvidence(part.framing, content.end)
-                    return check.check(target, part, content.events)
-                }
+                is ResponsePart.End -> return checkEnd(call, target, part, content)
                 is ResponsePart.Aborted -> return BodyEnd.Broken(part.cause)
                 is ResponsePart.Head -> return BodyEnd.Broken("unexpected second response head")
             }
@@ -162,6 +161,25 @@
         return BodyEnd.Broken("response ended without its last part")
     }
 
+    private suspend fun checkEnd(
+        call: RoutedCall,
+        target: Target,
+        end: ResponsePart.End,
+        content: BodyContent,
+    ): BodyEnd {
+        val evidence = BodyEvidence(end.framing, content.end)
+        call.bodyEvidence = evidence
+        return check.check(target, evidence)
+    }
+
+    /** Removes the length of a stream, which would look complete with its last byte, before its end is checked. */
+    private fun removeStreamLength(
+        head: ResponseHead,
+        content: BodyContent,
+    ) {
+        if (content.isEventStream) head.headers.remove(HttpHeaderNames.CONTENT_LENGTH)
+    }
+
     private fun logBroken(
         call: RoutedCall,
         end: BodyEnd.Broken,
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/UndelimitedResponseSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/UndelimitedResponseSpec.kt
@@ -29,11 +29,18 @@
     end: ConnectionAction,
     status: String = "200 OK",
     pause: Duration = 20.milliseconds,
+    contentType: String = "text/event-stream",
 ): ScriptedResponse {
-    val head = responseHead(request, status) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+    val head = responseHead(request, status) + "Content-Type: $contentType\r\nConnection: close\r\n\r\n"
     return ScriptedResponse(listOf(head) + parts, end, pause)
 }
 
+private fun undelimitedText(
+    request: ReceivedRequest,
+    text: String,
+    end: ConnectionAction,
+): ScriptedResponse = undelimited(request, listOf(text), end, contentType = "text/plain")
+
 class UndelimitedResponseSpec :
     DescribeSpec({
         isolationMode = IsolationMode.InstancePerLeaf
@@ -111,7 +118,7 @@
                 val received = AtomicInteger()
                 for (id in listOf("i-1", "i-2")) {
                     fleet.target(id) {
-                        val killed = undelimited(it, listOf("part"), ConnectionAction.CRASH)
+                        val killed = undelimitedText(it, "part", ConnectionAction.CRASH)
                         if (received.getAndIncrement() == 0) killed else signedResponse(it, "whole")
                     }
                 }
@@ -121,14 +128,14 @@
 
             // Guards against the first bytes of a body, framed as the whole of it because its target was killed.
             it("has an unknown outcome if its target was killed and the route is not idempotent") {
-                val target = fleet.target("i-1") { undelimited(it, listOf("part"), ConnectionAction.CRASH) }
+                val target = fleet.target("i-1") { undelimitedText(it, "part", ConnectionAction.CRASH) }
                 caller().send("POST", "/pay/1").status shouldBe 502
                 target.received shouldHaveSize 1
             }
 
             // Guards against the first bytes of a body that was too long to buffer, which ended as complete.
             it("is broken off if its target was killed and it was passed on in part") {
-                fleet.target("i-1") { undelimited(it, listOf(LONG_BODY), ConnectionAction.CRASH) }
+                fleet.target("i-1") { undelimitedText(it, LONG_BODY, ConnectionAction.CRASH) }
                 val response = caller().send("GET", "/plain/1")
                 response.status shouldBe 200
                 response.hasLastChunk shouldBe false
@@ -137,7 +144,7 @@
             it("is complete if its target goes on listening") {
                 fleet.target("i-1") { request ->
                     val body = if (request.target.endsWith("/long")) LONG_BODY else "short"
-                    undelimited(request, listOf(body), ConnectionAction.CLOSE)
+                    undelimitedText(request, body, ConnectionAction.CLOSE)
                 }
                 val caller = caller()
                 repeat(3) { caller.send("POST", "/pay/short").body shouldBe "short" }
@@ -157,7 +164,7 @@
                                 listOf(stated),
                             )
                         } else {
-                            undelimited(request, listOf("end"), ConnectionAction.CLOSE)
+                            undelimitedText(request, "end", ConnectionAction.CLOSE)
                         }
                     }
                 val caller = caller()
