End an event stream's last line, and begin its first one, as the standard says

A stream whose lines end with CR LF and that stops before its last line feed counted as complete, though a byte of it was missing. The first event behind a byte order mark was not counted for the budget nor stored in its turn, and a comment there counted as the beginning of an event.

The parser now waits for the line feed if its other lines had one, and skips the mark. Both new tests of EventStreamParserSpec fail on the code before.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/EventStreamParser.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/EventStreamParser.kt
@@ -3,7 +3,7 @@
 import java.io.ByteArrayOutputStream
 
 /**
- * Parses a `text/event-stream`: counts its events and optionally collects their data.
+ * Parses a `text/event-stream`: counts its events, tells whether it may end, and optionally collects the events' data.
  *
  * @param collectsData whether to collect the data of the events for [output]
  */
@@ -18,13 +18,19 @@
     private var hasData = false
     private var lastWasCarriageReturn = false
 
+    /** Whether a line ended with a carriage return and a line feed, so that the others are expected to do so as well. */
+    private var usesLineFeeds = false
+
+    /** Whether the stream may still begin with a byte order mark. */
+    private var isAtStart = true
+
     /** The number of complete events so far. */
     public var eventCount: Int = 0
         private set
 
-    /** Whether an event has begun and not ended yet, so that more of the stream must follow. */
+    /** Whether an event or a line has begun and not ended yet, so that more of the stream must follow. */
     public val isInsideEvent: Boolean
-        get() = hasFields || line.size() > 0
+        get() = hasFields || line.size() > 0 || lastWasCarriageReturn && usesLineFeeds
 
     /** Whether the stream exceeded a limit and is no longer parsed: [MAX_EVENT_BYTES] or [MAX_OUTPUT_BYTES]. */
     public var isTooLarge: Boolean = false
@@ -44,29 +50,44 @@
         val isLineEnd = byte == LINE_FEED || byte == CARRIAGE_RETURN
         val isLineFeedOfCrLf = byte == LINE_FEED && lastWasCarriageReturn
         lastWasCarriageReturn = byte == CARRIAGE_RETURN
-        if (isLineFeedOfCrLf) return
-        if (isLineEnd) endLine() else line.write(byte.toInt())
+        when {
+            isLineFeedOfCrLf -> usesLineFeeds = true
+            isLineEnd -> endLine()
+            else -> line.write(byte.toInt())
+        }
+        if (isAtStart && line.size() == BYTE_ORDER_MARK.size) skipByteOrderMark()
+    }
+
+    private fun skipByteOrderMark() {
+        isAtStart = false
+        if (line.toByteArray().contentEquals(BYTE_ORDER_MARK)) line.reset()
     }
 
     private fun endLine() {
+        isAtStart = false
         if (line.size() == 0) endEvent() else readField()
         line.reset()
     }
 
     private fun readField() {
         val bytes = line.toByteArray()
-        if (bytes[0] != COMMENT_START) hasFields = true
+        if (bytes[0] == COLON) return
+        hasFields = true
         if (!startsWithData(bytes)) return
-        if (hasData) data.write(LINE_FEED.toInt())
+        if (collectsData) collect(bytes)
         hasData = true
-        val hasSpace = bytes.size > DATA_FIELD.size && bytes[DATA_FIELD.size] == SPACE_BYTE
-        val start = if (hasSpace) DATA_FIELD.size + 1 else DATA_FIELD.size
-        if (collectsData) data.write(bytes, start, bytes.size - start)
     }
 
     private fun startsWithData(bytes: ByteArray): Boolean =
         bytes.size >= DATA_FIELD.size && DATA_FIELD.indices.all { bytes[it] == DATA_FIELD[it] }
 
+    private fun collect(bytes: ByteArray) {
+        if (hasData) data.write(LINE_FEED.toInt())
+        val hasSpace = bytes.size > DATA_FIELD.size && bytes[DATA_FIELD.size] == SPACE
+        val start = if (hasSpace) DATA_FIELD.size + 1 else DATA_FIELD.size
+        data.write(bytes, start, bytes.size - start)
+    }
+
     private fun endEvent() {
         hasFields = false
         if (!hasData) return
@@ -86,10 +107,11 @@
         /** Far above the longest response of a model. */
         private const val MAX_OUTPUT_BYTES = 4 * 1024 * 1024
 
-        private const val COMMENT_START = ':'.code.toByte()
+        private const val COLON = ':'.code.toByte()
         private const val LINE_FEED = '\n'.code.toByte()
         private const val CARRIAGE_RETURN = '\r'.code.toByte()
-        private const val SPACE_BYTE = ' '.code.toByte()
+        private const val SPACE = ' '.code.toByte()
         private val DATA_FIELD = "data:".encodeToByteArray()
+        private val BYTE_ORDER_MARK = "\uFEFF".encodeToByteArray()
     }
 }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/EventStreamParserSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/EventStreamParserSpec.kt
@@ -43,6 +43,19 @@
                 parserOf("data: cane\n\n: a comment\n").isInsideEvent shouldBe false
             }
 
+            // Guards against a stream whose last line feed is missing and that looked complete.
+            it("is inside an event until the line feed that its other lines end with") {
+                parserOf("data: cane\r\n\r").isInsideEvent shouldBe true
+                parserOf("data: cane\r\n\r", "\n").isInsideEvent shouldBe false
+                parserOf("data: cane\r\r").isInsideEvent shouldBe false
+            }
+
+            // Guards against a stream that begins with a byte order mark, whose first event was not counted or stored.
+            it("skips a byte order mark at its start") {
+                parserOf("\uFEFFdata: cane\n\n").output().decodeToString() shouldBe "cane\n"
+                parserOf("\uFEFF: a comment\n").isInsideEvent shouldBe false
+            }
+
             it("joins data of several lines and ignores other fields") {
                 val parser = parserOf("event: x\nversion: 3\ndata: a\ndata: b\n\n: a comment\n\n")
                 parser.eventCount shouldBe 1
