Read data without a colon as empty data

A field without a colon has an empty value by the standard, so that "data" alone makes an event. It was not counted for the budget nor stored in its turn, while the caller's parser sees it. Fails before in EventStreamParserSpec.

The spec also compares the parser with a reference that reads a whole stream at once: 500 random streams, at each byte and in random splits.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/EventStreamParser.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/EventStreamParser.kt
@@ -73,19 +73,23 @@
         val bytes = line.toByteArray()
         if (bytes[0] == COLON) return
         hasFields = true
-        if (!startsWithData(bytes)) return
+        if (!isDataField(bytes)) return
         if (collectsData) collect(bytes)
         hasData = true
     }
 
-    private fun startsWithData(bytes: ByteArray): Boolean =
-        bytes.size >= DATA_FIELD.size && DATA_FIELD.indices.all { bytes[it] == DATA_FIELD[it] }
+    /** Returns whether the name of the field in [bytes] is `data`; a field without a colon has an empty value. */
+    private fun isDataField(bytes: ByteArray): Boolean {
+        if (bytes.size < DATA_NAME.size || DATA_NAME.indices.any { bytes[it] != DATA_NAME[it] }) return false
+        return bytes.size == DATA_NAME.size || bytes[DATA_NAME.size] == COLON
+    }
 
     private fun collect(bytes: ByteArray) {
         if (hasData) data.write(LINE_FEED.toInt())
-        val hasSpace = bytes.size > DATA_FIELD.size && bytes[DATA_FIELD.size] == SPACE
-        val start = if (hasSpace) DATA_FIELD.size + 1 else DATA_FIELD.size
-        data.write(bytes, start, bytes.size - start)
+        val valueStart = DATA_NAME.size + 1
+        val hasSpace = bytes.size > valueStart && bytes[valueStart] == SPACE
+        val start = if (hasSpace) valueStart + 1 else valueStart
+        if (start < bytes.size) data.write(bytes, start, bytes.size - start)
     }
 
     private fun endEvent() {
@@ -111,7 +115,7 @@
         private const val LINE_FEED = '\n'.code.toByte()
         private const val CARRIAGE_RETURN = '\r'.code.toByte()
         private const val SPACE = ' '.code.toByte()
-        private val DATA_FIELD = "data:".encodeToByteArray()
+        private val DATA_NAME = "data".encodeToByteArray()
         private val BYTE_ORDER_MARK = "\uFEFF".encodeToByteArray()
     }
 }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/EventStreamParserSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/EventStreamParserSpec.kt
@@ -1,7 +1,9 @@
 package org.chestnutloom.edge.turn
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import kotlin.random.Random
 
 private fun parserOf(vararg chunks: String): EventStreamParser {
     val parser = EventStreamParser(collectsData = true)
@@ -9,6 +11,28 @@
     return parser
 }
 
+private const val SEED = 20261206
+private const val STREAMS = 500
+
+/** Lines and parts of lines that a stream may have, well-formed or not. */
+private val TOKENS =
+    listOf("data: cane", "data:", "data", "datum: x", "id: 1", "retry", ": comment", ":", "data: \u00E9", " data: x")
+
+private val LINE_ENDS = listOf("\n", "\r\n", "\r")
+
+private fun randomStream(random: Random): String {
+    val usualEnd = LINE_ENDS.random(random)
+    val start = if (random.nextInt(4) == 0) ReferenceEventStream.BYTE_ORDER_MARK else ""
+    val lines =
+        (1..random.nextInt(2, 9)).map {
+            val end = if (random.nextInt(8) == 0) LINE_ENDS.random(random) else usualEnd
+            if (random.nextInt(3) == 0) end else TOKENS.random(random) + end
+        }
+    return start + lines.joinToString("")
+}
+
+private fun latin1(text: String): ByteArray = text.toByteArray(Charsets.ISO_8859_1)
+
 class EventStreamParserSpec :
     DescribeSpec({
         describe("a parser of event streams") {
@@ -56,6 +80,35 @@
                 parserOf("\uFEFF: a comment\n").isInsideEvent shouldBe false
             }
 
+            // Guards against an event that was not counted or stored because its data has no colon.
+            it("takes data without a colon for empty data") {
+                val parser = parserOf("data\n\n")
+                parser.eventCount shouldBe 1
+                parser.output().decodeToString() shouldBe "\n"
+            }
+
+            // Guards against ends of a stream that are taken for the middle of an event, and the other way around.
+            it("agrees with a reference at each byte of random streams, in any split") {
+                val random = Random(SEED)
+                repeat(STREAMS) {
+                    val stream = randomStream(random)
+                    (0..stream.length).forEach { length ->
+                        val split = random.nextInt(length + 1)
+                        val start = stream.take(length)
+                        val expected = ReferenceEventStream(start)
+                        for (collectsData in listOf(true, false)) {
+                            val parser = EventStreamParser(collectsData)
+                            parser.read(latin1(start.take(split)))
+                            parser.read(latin1(start.drop(split)))
+                            withClue("seed $SEED, stream ${latin1(start).toList()}") {
+                                parser.isInsideEvent shouldBe expected.isInsideEvent
+                                if (collectsData) parser.output() shouldBe latin1(expected.output)
+                            }
+                        }
+                    }
+                }
+            }
+
             it("joins data of several lines and ignores other fields") {
                 val parser = parserOf("event: x\nversion: 3\ndata: a\ndata: b\n\n: a comment\n\n")
                 parser.eventCount shouldBe 1
