Limit the size of an event only where its data is kept

Since the content of buffered responses is read as well, an event above 1 MB in an idempotent response would be broken off, though nothing of it needs to be kept to find its end. Without data to collect, the parser keeps the first five bytes of a line; with it, the limit counts what is kept. The new test of EventStreamParserSpec fails before.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/EventStreamParser.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/EventStreamParser.kt
@@ -5,6 +5,8 @@
 /**
  * Parses a `text/event-stream`: counts its events, tells whether it may end, and optionally collects the events' data.
  *
+ * Without the data, it keeps only the first bytes of a line, so that an event of any length can be read.
+ *
  * @param collectsData whether to collect the data of the events for [output]
  */
 public class EventStreamParser(
@@ -13,7 +15,6 @@
     private val line = ByteArrayOutputStream()
     private val data = ByteArrayOutputStream()
     private val output = ByteArrayOutputStream()
-    private var eventBytes = 0
     private var hasFields = false
     private var hasData = false
     private var lastWasCarriageReturn = false
@@ -32,17 +33,15 @@
     public val isInsideEvent: Boolean
         get() = hasFields || line.size() > 0 || lastWasCarriageReturn && usesLineFeeds
 
-    /** Whether the stream exceeded a limit and is no longer parsed: [MAX_EVENT_BYTES] or [MAX_OUTPUT_BYTES]. */
-    public var isTooLarge: Boolean = false
-        private set
+    /** Whether what is collected exceeded [MAX_EVENT_BYTES] or [MAX_OUTPUT_BYTES], so that nothing more is parsed. */
+    public val isTooLarge: Boolean
+        get() = collectsData && (line.size() + data.size() > MAX_EVENT_BYTES || output.size() > MAX_OUTPUT_BYTES)
 
     /** Returns the data of the events so far, each followed by a line feed. */
     public fun output(): ByteArray = output.toByteArray()
 
     /** Parses the next [bytes] of the stream. */
     public fun read(bytes: ByteArray) {
-        eventBytes += bytes.size
-        if (eventBytes > MAX_EVENT_BYTES || output.size() > MAX_OUTPUT_BYTES) isTooLarge = true
         if (!isTooLarge) bytes.forEach(::read)
     }
 
@@ -53,7 +52,7 @@
         when {
             isLineFeedOfCrLf -> usesLineFeeds = true
             isLineEnd -> endLine()
-            else -> line.write(byte.toInt())
+            collectsData || line.size() < MAX_PREFIX_BYTES -> line.write(byte.toInt())
         }
         if (isAtStart && line.size() == BYTE_ORDER_MARK.size) skipByteOrderMark()
     }
@@ -96,7 +95,6 @@
         hasFields = false
         if (!hasData) return
         eventCount++
-        eventBytes = 0
         hasData = false
         if (!collectsData) return
         data.write(LINE_FEED.toInt())
@@ -105,7 +103,7 @@
     }
 
     private companion object {
-        /** Far above an event of a model's response, comments and other fields included. */
+        /** Far above the data of an event of a model's response. */
         private const val MAX_EVENT_BYTES = 1024 * 1024
 
         /** Far above the longest response of a model. */
@@ -117,5 +115,8 @@
         private const val SPACE = ' '.code.toByte()
         private val DATA_NAME = "data".encodeToByteArray()
         private val BYTE_ORDER_MARK = "\uFEFF".encodeToByteArray()
+
+        /** Enough of a line to tell comments, `data` and a byte order mark. */
+        private val MAX_PREFIX_BYTES = DATA_NAME.size + 1
     }
 }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/EventStreamParserSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/EventStreamParserSpec.kt
@@ -87,6 +87,16 @@
                 parser.output().decodeToString() shouldBe "\n"
             }
 
+            // Guards against a whole stream that is broken off because of its size though none of it is kept.
+            it("reads an event of any size if it does not collect data") {
+                val line = ByteArray(2 * 1024 * 1024) { 'x'.code.toByte() }
+                val parser = EventStreamParser(collectsData = false)
+                listOf(latin1("data: "), line, latin1("\n\n")).forEach(parser::read)
+                parser.isTooLarge shouldBe false
+                parser.isInsideEvent shouldBe false
+                parser.eventCount shouldBe 1
+            }
+
             // Guards against ends of a stream that are taken for the middle of an event, and the other way around.
             it("agrees with a reference at each byte of random streams, in any split") {
                 val random = Random(SEED)
