Do not take a process that registered the address since for the target

When a connection ends late, as behind a cut, and the target's row was removed before, another process may listen at its address. The probe compared the row's removal before and after its pause only, so that a process which had registered in between the crash and the late end vouched for a response that was half.

The probe now looks up whether a later start has registered the address. Both new cases of ListeningProbeSpec fail on the code before; a third one shows that the left-over row of an earlier process changes nothing.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -192,7 +192,7 @@
     }
 
     private fun callService(): CallService {
-        val check = CompletionCheck(ListeningProbe(loop.scope, clock) { it.pool.addIdle() })
+        val check = CompletionCheck(ListeningProbe(loop.scope, clock, targets) { it.pool.addIdle() })
         val attempts = TargetAttempts(adapter.callCodec, ResponseRelay(check, clock), clock, loop.scope)
         val dispatcher = CallDispatcher(scheduler, attempts, quarantine, clock, loop.scope)
         return CallService(
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/ListeningProbe.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/ListeningProbe.kt
@@ -14,14 +14,15 @@
 /**
  * Takes a target for alive if it accepts a connection; confined to the event loop.
  *
- * A process that dies closes its sockets one after the other, so the connection is opened only after a pause. A new run
- * that listens at the same address within that pause can be told only once the store has announced it.
+ * A process that dies closes its sockets one after the other, so the connection is opened only after a pause. Another
+ * process that listens at the same address within that pause can be told only once the store has announced it.
  *
  * @property connect opens a connection for later requests to the target; returns whether the target accepted it
  */
 internal class ListeningProbe(
     private val scope: CoroutineScope,
     private val clock: Clock,
+    private val directory: TargetDirectory,
     private val connect: suspend (Target) -> Boolean,
 ) : TargetLiveness {
     /** The probes that those who ask now may share, since their pause has not begun. */
@@ -34,7 +35,7 @@
             val startedAt = clock.elapsed()
             // A target that leaves may serve on after its row was removed; only a removal meanwhile may be another run.
             val wasRemoved = target.isRemoved
-            val isSameRun = { target.isRemoved == wasRemoved }
+            val isSameRun = { target.isRemoved == wasRemoved && !isReplaced(target) }
             delay(JOIN_PERIOD)
             joinable.remove(target)
             delay(PAUSE)
@@ -49,6 +50,20 @@
             isAlive
         }
 
+    /** Returns whether another target, or another run of this one, has registered the address since. */
+    private fun isReplaced(target: Target): Boolean =
+        directory.all.any { it !== target && it.entry.address == target.entry.address && !startedBefore(it, target) }
+
+    /** Returns whether [other] is known to have started before [target], so that its row is only left over. */
+    private fun startedBefore(
+        other: Target,
+        target: Target,
+    ): Boolean {
+        val otherStart = other.entry.startedAtEpochMs ?: return false
+        val start = target.entry.startedAtEpochMs ?: return false
+        return otherStart < start
+    }
+
     private companion object {
         /** Responses that one process leaves behind arrive this close together. */
         private val JOIN_PERIOD = 5.milliseconds
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/target/ListeningProbeSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/target/ListeningProbeSpec.kt
@@ -31,15 +31,18 @@
     val directory = TargetDirectory(TargetFactory(connector, VirtualClock(test), test)) { 1_000L }
     val connectedAtMs = mutableListOf<Long>()
     val probe =
-        ListeningProbe(test, VirtualClock(test)) {
+        ListeningProbe(test, VirtualClock(test), directory) {
             connectedAtMs += test.currentTime
             test.currentTime < listensUntilMs
         }
 
-    fun register(startedAtEpochMs: Long): Target {
+    fun register(
+        startedAtEpochMs: Long,
+        id: TargetId = ID,
+    ): Target {
         val address = PeerAddress("127.0.0.1", 9)
-        directory.update(TargetEntry(ID, startedAtEpochMs, "models", address, "siracusa", 4, TargetStage.READY))
-        return checkNotNull(directory[ID])
+        directory.update(TargetEntry(id, startedAtEpochMs, "models", address, "siracusa", 4, TargetStage.READY))
+        return checkNotNull(directory[id])
     }
 }
 
@@ -91,6 +94,28 @@
                 }
             }
 
+            // Guards against a connection that ends late, when another process listens at the address of a killed target.
+            listOf(ID, TargetId("i-2")).forEach { successor ->
+                it("does not take $successor for it, which registered its address before the connection ended") {
+                    runTest {
+                        val fixture = ProbeFixture(this, loop)
+                        val killed = fixture.register(1)
+                        fixture.directory.remove(ID)
+                        fixture.register(2, successor)
+                        fixture.probe.isAlive(killed) shouldBe false
+                    }
+                }
+            }
+
+            // Guards against a whole response that is broken off because the address has the row of an earlier process.
+            it("finds it alive if the address has the row of a target that started before it") {
+                runTest {
+                    val fixture = ProbeFixture(this, loop)
+                    fixture.register(1, TargetId("i-0"))
+                    fixture.probe.isAlive(fixture.register(2)) shouldBe true
+                }
+            }
+
             // Guards against a target that has started again and listens at the address of the run that was killed.
             it("does not take another run of it for the one whose connection has ended") {
                 runTest {
