Take a target for alive only shortly after it last sent something

The end of a connection may arrive late, as behind a cut, and the gateway may stand still between that end and its probe. By then the target may have been started again, and the new process, which listens at the same address, vouched for the half response of the one that was killed.

The probe counts only if the target has accepted the connection within a second after the last bytes of the response. Time in which the gateway itself did not read, because its caller did not, is not counted against the target. target_probed says how long the target had been silent.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CompletionCheck.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CompletionCheck.kt
@@ -24,17 +24,17 @@
         return when (evidence.framing) {
             ResponseFraming.LENGTH -> BodyEnd.Complete(CompletionEvidence.LENGTH)
             ResponseFraming.CHUNKS -> BodyEnd.Complete(CompletionEvidence.LAST_CHUNK)
-            else -> checkConnectionEnd(target, evidence.content)
+            else -> checkConnectionEnd(target, evidence)
         }
     }
 
     private suspend fun checkConnectionEnd(
         target: Target,
-        content: ContentEnd,
+        evidence: BodyEvidence,
     ): BodyEnd =
         when {
-            content == ContentEnd.NO_EVENT -> BodyEnd.Broken("connection was closed before the first event")
-            liveness.isAlive(target) -> BodyEnd.Complete(CompletionEvidence.TARGET_ALIVE)
+            evidence.content == ContentEnd.NO_EVENT -> BodyEnd.Broken("connection was closed before the first event")
+            liveness.isAlive(target, evidence.lastBytesAt) -> BodyEnd.Complete(CompletionEvidence.TARGET_ALIVE)
             else -> BodyEnd.Broken("connection was closed, and the target may have been killed")
         }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
@@ -167,7 +167,7 @@
         end: ResponsePart.End,
         content: BodyContent,
     ): BodyEnd {
-        val evidence = BodyEvidence(end.framing, content.end)
+        val evidence = BodyEvidence(end.framing, content.end, end.lastBytesAt)
         call.bodyEvidence = evidence
         return check.check(target, evidence)
     }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -40,6 +40,9 @@
     /** Whether no request is being sent. */
     private var isRequestSent = true
 
+    /** Monotonic time at which bytes arrived last, or reading was resumed after them. */
+    private var lastBytesAt: Duration = clock.elapsed()
+
     /** Monotonic time at which the last exchange completed. */
     internal var idleSince: Duration = clock.elapsed()
         private set
@@ -87,6 +90,7 @@
 
     /** Pauses or resumes reading from the server, for backpressure. */
     internal fun setReading(isEnabled: Boolean) {
+        if (isEnabled) lastBytesAt = clock.elapsed()
         context?.channel()?.config()?.isAutoRead = isEnabled
     }
 
@@ -95,6 +99,7 @@
      * have arrived without the head of its response, and closes the connection when no exchange is active.
      */
     internal fun acceptsBytes(bytes: Int): Boolean {
+        lastBytesAt = clock.elapsed()
         val active = exchange ?: return false.also { closeAfterExtraBytes(bytes) }
         if (active.hasHead) return true
         active.bytesBeforeHead += bytes
@@ -177,7 +182,7 @@
         exchange = null
         idleSince = clock.elapsed()
         completedExchanges++
-        active.parts.trySend(ResponsePart.End(active.framing))
+        active.parts.trySend(ResponsePart.End(active.framing, lastBytesAt))
         active.parts.close()
         if (decoder.unreadBytes > 0) closeAfterExtraBytes(decoder.unreadBytes)
     }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/ListeningProbe.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/ListeningProbe.kt
@@ -7,7 +7,9 @@
 import kotlinx.coroutines.delay
 import org.chestnutloom.common.log.event
 import org.chestnutloom.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
 
@@ -15,7 +17,9 @@
  * Takes a target for alive if it accepts a connection; confined to the event loop.
  *
  * A process that dies closes its sockets one after the other, so the connection is opened only after a pause. Another
- * process that listens at the same address within that pause can be told only once the store has announced it.
+ * process that listens at the same address within that pause can be told only once the store has announced it. One that
+ * may have come there earlier is told by the time that has passed since the target last sent something, whether its
+ * connection ended late or this gateway stood still.
  *
  * @property connect opens a connection for later requests to the target; returns whether the target accepted it
  */
@@ -26,11 +30,21 @@
     private val connect: suspend (Target) -> Boolean,
 ) : TargetLiveness {
     /** The probes that those who ask now may share, since their pause has not begun. */
-    private val joinable = HashMap<Target, Deferred<Boolean>>()
+    private val joinable = HashMap<Target, Deferred<Duration?>>()
 
-    override suspend fun isAlive(target: Target): Boolean = joinable.getOrPut(target) { start(target) }.await()
+    override suspend fun isAlive(
+        target: Target,
+        lastBytesAt: Duration,
+    ): Boolean {
+        val acceptedAt = joinable.getOrPut(target) { start(target, lastBytesAt) }.await() ?: return false
+        return acceptedAt - lastBytesAt <= REPLACEMENT_TIME
+    }
 
-    private fun start(target: Target): Deferred<Boolean> =
+    /** Starts a probe whose result is the time at which the target accepted a connection, or null. */
+    private fun start(
+        target: Target,
+        lastBytesAt: Duration,
+    ): Deferred<Duration?> =
         scope.async {
             val startedAt = clock.elapsed()
             // A target that leaves may serve on after its row was removed; only a removal meanwhile may be another run.
@@ -39,15 +53,17 @@
             delay(JOIN_PERIOD)
             joinable.remove(target)
             delay(PAUSE)
-            val isAlive = isSameRun() && connect(target) && isSameRun()
+            val isListening = isSameRun() && connect(target) && isSameRun()
+            val endedAt = clock.elapsed()
             logger.event(
                 "target_probed",
                 "target" to target.entry.id,
-                "alive" to isAlive,
+                "listening" to isListening,
                 "was_removed" to wasRemoved,
-                "took_ms" to (clock.elapsed() - startedAt).inWholeMilliseconds,
+                "silent_ms" to (startedAt - lastBytesAt).inWholeMilliseconds,
+                "took_ms" to (endedAt - startedAt).inWholeMilliseconds,
             )
-            isAlive
+            if (isListening) endedAt else null
         }
 
     /** Returns whether another target, or another run of this one, has registered the address since. */
@@ -70,5 +86,8 @@
 
         /** The time after which a process that closed a connection because it dies no longer listens. */
         private val PAUSE = 20.milliseconds
+
+        /** Less than the time after which another process listens at the address of one that ended. */
+        private val REPLACEMENT_TIME = 1.seconds
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/TargetLiveness.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/TargetLiveness.kt
@@ -1,7 +1,16 @@
 package org.chestnutloom.edge.target
 
-/** Tells whether a target outlived a moment that has just passed, such as the end of one of its connections. */
+import kotlin.time.Duration
+
+/** Tells whether a target has outlived the end of one of its connections. */
 internal fun interface TargetLiveness {
-    /** Returns whether this run of [target] shows that it still runs; false if that is not known. */
-    suspend fun isAlive(target: Target): Boolean
+    /**
+     * Returns whether this run of [target] shows that it still runs; false if that is not known.
+     *
+     * @param lastBytesAt when the target last showed on the connection that it ran, on the monotonic clock
+     */
+    suspend fun isAlive(
+        target: Target,
+        lastBytesAt: Duration,
+    ): Boolean
 }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/target/ListeningProbeSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/target/ListeningProbeSpec.kt
@@ -15,6 +15,7 @@
 import org.chestnutloom.edge.http.HttpConnector
 import org.chestnutloom.id.TargetId
 import org.chestnutloom.wire.link.PeerAddress
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -23,19 +24,26 @@
 /** A probe of one target that listens until [listensUntilMs], in virtual time. */
 @OptIn(ExperimentalCoroutinesApi::class)
 private class ProbeFixture(
-    test: TestScope,
+    private val test: TestScope,
     loop: EdgeLoop,
     private val listensUntilMs: Long = Long.MAX_VALUE,
+    private val connectTime: Duration = Duration.ZERO,
 ) {
     private val connector = HttpConnector(loop, VirtualClock(test), connectTimeout = 1.seconds)
     val directory = TargetDirectory(TargetFactory(connector, VirtualClock(test), test)) { 1_000L }
     val connectedAtMs = mutableListOf<Long>()
-    val probe =
+    private val probe =
         ListeningProbe(test, VirtualClock(test), directory) {
             connectedAtMs += test.currentTime
+            delay(connectTime)
             test.currentTime < listensUntilMs
         }
 
+    suspend fun isAlive(
+        target: Target,
+        lastBytesAtMs: Long = test.currentTime,
+    ): Boolean = probe.isAlive(target, lastBytesAtMs.milliseconds)
+
     fun register(
         startedAtEpochMs: Long,
         id: TargetId = ID,
@@ -57,14 +65,14 @@
             it("finds it dead if it listens for a little longer than its connection lasts") {
                 runTest {
                     val fixture = ProbeFixture(this, loop, listensUntilMs = 15)
-                    fixture.probe.isAlive(fixture.register(1)) shouldBe false
+                    fixture.isAlive(fixture.register(1)) shouldBe false
                 }
             }
 
             it("finds it alive if it accepts a connection") {
                 runTest {
                     val fixture = ProbeFixture(this, loop)
-                    fixture.probe.isAlive(fixture.register(1)) shouldBe true
+                    fixture.isAlive(fixture.register(1)) shouldBe true
                 }
             }
 
@@ -76,7 +84,7 @@
                         listOf(0, 3, 4, 12).map { endsAtMs ->
                             async {
                                 delay(endsAtMs.milliseconds)
-                                fixture.probe.isAlive(target)
+                                fixture.isAlive(target)
                             }
                         }
                     results.awaitAll() shouldContainExactly listOf(true, true, true, false)
@@ -84,13 +92,32 @@
                 }
             }
 
+            // Guards against a connection that ends long after its target, when another process listens there already.
+            it("does not vouch for a target that was silent for longer than a restart may take") {
+                runTest {
+                    val fixture = ProbeFixture(this, loop)
+                    val target = fixture.register(1)
+                    delay(2.seconds)
+                    fixture.isAlive(target, lastBytesAtMs = 900) shouldBe false
+                    fixture.isAlive(target, lastBytesAtMs = 1_100) shouldBe true
+                }
+            }
+
+            // Guards against a gateway that stands still between the end and the probe while the target starts again.
+            it("does not vouch for a target whose connection took longer than a restart may take") {
+                runTest {
+                    val fixture = ProbeFixture(this, loop, connectTime = 1.seconds)
+                    fixture.isAlive(fixture.register(1)) shouldBe false
+                }
+            }
+
             // Guards against a whole response that is broken off because its target leaves and has removed its row.
             it("finds it alive if it goes on serving after its row was removed") {
                 runTest {
                     val fixture = ProbeFixture(this, loop)
                     val leaving = fixture.register(1)
                     fixture.directory.remove(ID)
-                    fixture.probe.isAlive(leaving) shouldBe true
+                    fixture.isAlive(leaving) shouldBe true
                 }
             }
 
@@ -102,7 +129,7 @@
                         val killed = fixture.register(1)
                         fixture.directory.remove(ID)
                         fixture.register(2, successor)
-                        fixture.probe.isAlive(killed) shouldBe false
+                        fixture.isAlive(killed) shouldBe false
                     }
                 }
             }
@@ -112,7 +139,7 @@
                 runTest {
                     val fixture = ProbeFixture(this, loop)
                     fixture.register(1, TargetId("i-0"))
-                    fixture.probe.isAlive(fixture.register(2)) shouldBe true
+                    fixture.isAlive(fixture.register(2)) shouldBe true
                 }
             }
 
@@ -121,7 +148,7 @@
                 runTest {
                     val fixture = ProbeFixture(this, loop)
                     val killed = fixture.register(1)
-                    val isAlive = async { fixture.probe.isAlive(killed) }
+                    val isAlive = async { fixture.isAlive(killed) }
                     delay(10.milliseconds)
                     fixture.register(2)
                     isAlive.await() shouldBe false
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/UndelimitedResponseSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/UndelimitedResponseSpec.kt
@@ -86,6 +86,16 @@
                 }
             }
 
+            // Guards against an end that arrives late, as behind a cut, when another process may listen at the address.
+            it("is broken off if its connection ends long after its last event") {
+                fleet.target("e-1", EdgeFleet.LLM) {
+                    undelimited(it, EVENTS + "", ConnectionAction.CLOSE, pause = 1_200.milliseconds)
+                }
+                val response = caller().send("POST", "/talk/1", callerTimeoutMs = 8_000)
+                response.text shouldContain "data: two"
+                response.hasLastChunk shouldBe false
+            }
+
             it("is broken off if it is reset between two events") {
                 fleet.target("e-1", EdgeFleet.LLM) { undelimited(it, EVENTS, ConnectionAction.RESET) }
                 caller().send("POST", "/talk/1").hasLastChunk shouldBe false
