--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/HalfStreamSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/HalfStreamSpec.kt
@@ -10,6 +10,7 @@
 import org.chestnutloom.fakes.edge.ConnectionAction
 import org.chestnutloom.fakes.edge.ReceivedRequest
 import org.chestnutloom.fakes.edge.ScriptedResponse
+import java.util.concurrent.atomic.AtomicInteger
 
 private const val EVENT_STREAM = "text/event-stream; charset=utf-8"
 private const val OK = 200
@@ -138,6 +139,24 @@
             }
         }
 
+        // Guards against an idempotent request that fails, or gets a half stream, though another target has the whole.
+        describe("an event stream that ends inside an event, in response to an idempotent request") {
+            BodyFraming.entries.forEach { framing ->
+                it("with ${framing.label}, is read from another target") {
+                    val received = AtomicInteger()
+                    val caller =
+                        callerOf(EdgeFleet.PLAIN) {
+                            val isFirst = received.getAndIncrement() == 0
+                            wholeFrame(it, framing, if (isFirst) STREAM.dropLast(1) else STREAM)
+                        }
+                    val body = caller.send("GET", "/plain/1").receivedBody()
+                    body.isWhole shouldBe true
+                    body.content shouldBe STREAM
+                    received.get() shouldBe 2
+                }
+            }
+        }
+
         // Guards against a half stream that was kept as a turn, from which the next turn went on.
         describe("a turn whose stream ends inside an event") {
             BodyFraming.entries.forEach { framing ->
