Know an event stream by its type however the type is written

The type of a response was compared with a space before its parameters, and an empty one counted as the type of something else, so that such a half stream would not have been judged by its events. Two tests of ResponseHeadSpec fail on the code before.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseHead.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseHead.kt
@@ -3,8 +3,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
-import io.netty.handler.codec.http.HttpUtil
-import io.netty.util.AsciiString
 
 /**
  * The status and headers of a target's response.
@@ -30,8 +28,9 @@
     /** Whether the body is an event stream, or null if the target states no type. */
     public val isEventStream: Boolean?
         get() {
-            val type = headers.get(HttpHeaderNames.CONTENT_TYPE) ?: return null
-            return AsciiString.contentEqualsIgnoreCase(HttpUtil.getMimeType(type), HttpHeaderValues.TEXT_EVENT_STREAM)
+            val type = headers.get(HttpHeaderNames.CONTENT_TYPE)?.substringBefore(';')?.trim()
+            if (type.isNullOrEmpty()) return null
+            return HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(type)
         }
 
     private companion object {
