End a stream to a caller of HTTP/1.0 by its connection, and reset it if it is broken off

What callers would see: a caller that speaks HTTP/1.0 got a stream in chunks, which that version does not have, and a stream that was broken off ended with its connection closed in order, which is the end of a complete one for such a caller.

Such a caller now gets the content as it is. Its connection is closed in order behind a complete stream, and reset behind a part of one.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/CallerRequest.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/CallerRequest.kt
@@ -8,6 +8,7 @@
  *
  * @property target the request target: path and query as received
  * @property receivedAt monotonic time at which the request head was received
+ * @property allowsChunks whether the caller understands a response in chunks, which HTTP/1.0 does not have
  */
 public class CallerRequest(
     public val method: String,
@@ -15,6 +16,7 @@
     public val headers: HttpHeaders,
     public val body: ByteArray,
     public val receivedAt: Duration,
+    public val allowsChunks: Boolean = true,
 ) {
     /** The path without the query. */
     public val path: String
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
@@ -158,7 +158,14 @@
         head = null
         request.headers().remove(HttpHeaderNames.EXPECT)
         pending.addLast(
-            CallerRequest(request.method().name(), request.uri(), request.headers(), body.toByteArray(), receivedAt),
+            CallerRequest(
+                request.method().name(),
+                request.uri(),
+                request.headers(),
+                body.toByteArray(),
+                receivedAt,
+                allowsChunks = request.protocolVersion() != HttpVersion.HTTP_1_0,
+            ),
         )
         if (current == null) handleNext() else context.channel().config().isAutoRead = pending.size < MAX_PIPELINED
     }
@@ -167,7 +174,10 @@
         val request = pending.removeFirstOrNull() ?: return pendingRejection?.let(::sendRejection) ?: startIdleTimeout()
         context.channel().config().isAutoRead = true
         val isHead = request.method == HttpMethod.HEAD.name()
-        val exchange = IngressExchange(context, registry, wantsKeepAlive(request), isHead) { onExchangeEnded() }
+        val exchange =
+            IngressExchange(context, registry, wantsKeepAlive(request), request.allowsChunks, isHead) {
+                onExchangeEnded()
+            }
         current = exchange
         currentJob =
             scope.launch(start = CoroutineStart.UNDISPATCHED) {
@@ -180,7 +190,7 @@
     }
 
     private fun wantsKeepAlive(request: CallerRequest): Boolean =
-        !request.headers.containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)
+        request.allowsChunks && !request.headers.containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)
 
     private fun onExchangeEnded() {
         isClosing = current?.isLastOnConnection == true
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressExchange.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressExchange.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -19,12 +20,15 @@
 /**
  * The response to one request on an [IngressConnection].
  *
+ * @property allowsChunks whether the caller understands chunks; otherwise a response whose length is not known ends with
+ *   its connection, which is reset if the response is not complete
  * @property isHeadRequest whether the request is a `HEAD` request, whose response has the length of a body but no body
  */
 internal class IngressExchange(
     private val context: ChannelHandlerContext,
     private val registry: IngressRegistry,
     private val wantsKeepAlive: Boolean,
+    private val allowsChunks: Boolean,
     private val isHeadRequest: Boolean,
     private val onEnded: () -> Unit,
 ) : CallerExchange {
@@ -33,7 +37,7 @@
     /** Whether the caller was told that the connection is closed after this response. */
     var isLastOnConnection: Boolean = false
         private set
-    private var isChunked = false
+    private var hasLength = false
 
     override var isStarted: Boolean = false
         private set
@@ -67,8 +71,8 @@
         isStarted = true
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         response.headers().add(headers)
-        isChunked = !HttpUtil.isContentLengthSet(response)
-        if (isChunked) HttpUtil.setTransferEncodingChunked(response, true)
+        hasLength = HttpUtil.isContentLengthSet(response)
+        if (!hasLength && allowsChunks) HttpUtil.setTransferEncodingChunked(response, true)
         setConnectionHeader(response)
         context.writeAndFlush(response)
     }
@@ -90,13 +94,20 @@
 
     override fun finish() {
         if (isEnded) return
-        val ending = if (isChunked) ResponseEnding.LAST_CHUNK else ResponseEnding.LENGTH
+        val ending =
+            when {
+                hasLength -> ResponseEnding.LENGTH
+                allowsChunks -> ResponseEnding.LAST_CHUNK
+                else -> ResponseEnding.CONNECTION
+            }
         end(ending, context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
     }
 
     override fun abort() {
         if (isEnded) return
         ending = ResponseEnding.ABORTED
+        // A connection that is closed in order would be the end of a complete response.
+        if (isStarted && !allowsChunks) context.channel().config().setOption(ChannelOption.SO_LINGER, 0)
         context.close()
         onEnded()
     }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponseEnding.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponseEnding.kt
@@ -11,6 +11,9 @@
     /** With its last chunk. */
     LAST_CHUNK,
 
+    /** With its connection, closed in order, to a caller that does not understand chunks. */
+    CONNECTION,
+
     /** With its connection, before it was complete. */
     ABORTED,
 }
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RawCaller.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RawCaller.kt
@@ -47,7 +47,7 @@
                     "Chestnutloom-Deadline-Ms: $callerTimeoutMs\r\n\r\n"
             socket.getOutputStream().write(head.encodeToByteArray())
             delay(waitMs)
-            suspend { withContext(Dispatchers.IO) { socket.use { RawResponse(readAll(it)) } } }
+            suspend { withContext(Dispatchers.IO) { socket.use { readAll(it) } } }
         }
 
     /** Sends [text] and reads until the connection is closed or reset. */
@@ -59,18 +59,20 @@
             Socket(InetAddress.getLoopbackAddress(), port).use { socket ->
                 socket.getOutputStream().write(bytes)
                 socket.getOutputStream().flush()
-                RawResponse(readAll(socket))
+                readAll(socket)
             }
         }
 
-    private fun readAll(socket: Socket): String {
+    private fun readAll(socket: Socket): RawResponse {
         val text = StringBuilder()
+        var isReset = false
         try {
             val reader = socket.getInputStream().reader()
             generateSequence { reader.read().takeIf { it >= 0 } }.forEach { text.append(it.toChar()) }
         } catch (_: IOException) {
             // A reset also ends the response; the caller keeps the bytes read before it.
+            isReset = true
         }
-        return text.toString()
+        return RawResponse(text.toString(), isReset)
     }
 }
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RawResponse.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RawResponse.kt
@@ -1,8 +1,13 @@
 package org.chestnutloom.integration.edge
 
-/** All bytes received on a connection, as text. */
+/**
+ * All bytes received on a connection, as text.
+ *
+ * @property isReset whether the connection was reset behind them
+ */
 class RawResponse(
     val text: String,
+    val isReset: Boolean = false,
 ) {
     /** The status code, or 0 if there is no response. */
     val status: Int
