Wait for a target's count of connections in the test of the probe's connection

The gateway's probe counts as accepted once the system has completed the handshake, and the stand-in counts it when its own thread accepts it, which may be after the gateway has responded.

The test waits until the count is exactly two; the count of three at its end, which a connection too many would break, is checked at once as before.

--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/UndelimitedResponseSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/UndelimitedResponseSpec.kt
@@ -180,7 +180,8 @@
                 val caller = caller()
                 caller.send("POST", "/pay/whole").body shouldBe "whole"
                 caller.send("POST", "/pay/end").body shouldBe "end"
-                target.connections shouldBe 2
+                // The target may count the connection only after the gateway has its response.
+                eventually { target.connections == 2 }
                 delay(1.seconds)
                 caller.send("POST", "/pay/whole").body shouldBe "whole"
                 target.connections shouldBe 3
