--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedTarget.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/ScriptedTarget.kt
@@ -187,7 +187,10 @@
     private companion object {
         private const val BACKLOG_CONNECTIONS = 64
 
-        /** Below the ports that the system assigns to connections, so that none takes the port of a crashed target. */
-        private val PORTS = 20_000..32_000
+        /**
+         * Below the ports that the system assigns to connections, so that none takes the port of a crashed target, and
+         * apart from those of gateways, which are free when they are chosen and bound somewhat later.
+         */
+        private val PORTS = 26_001..32_000
     }
 }
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EdgeFleet.kt
@@ -168,8 +168,11 @@
     }
 
     companion object {
-        /** Below the ports that the system assigns to connections, so that none takes a port before its gateway does. */
-        private val PORTS = 20_000..32_000
+        /**
+         * Below the ports that the system assigns to connections and apart from those of scripted targets, so that none
+         * of them takes a port before its gateway does.
+         */
+        private val PORTS = 20_000..26_000
         private const val STORE_LINK = "store"
 
         const val PLAIN = EdgeEnvironment.PLAIN
