--- /dev/null
+++ b/review/harness-2/src/Case.java
@@ -0,0 +1,28 @@
+import java.nio.file.Path;
+
+/** Runs one case and exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run. */
+final class Case {
+  /** Returns whether the rule was broken; {@code hasTrouble} is false for the same run without the disruption. */
+  interface Scenario {
+    boolean breaksRule(Harness harness, boolean hasTrouble) throws Exception;
+  }
+
+  private Case() {}
+
+  static void run(String folder, Scenario scenario) {
+    boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+    int exitCode;
+    try {
+      Harness harness = new Harness(Path.of("review", folder, "record.txt"));
+      harness.record(hasTrouble ? "with the disruption" : "without the disruption");
+      boolean isBroken = scenario.breaksRule(harness, hasTrouble);
+      harness.record(isBroken ? "the rule was broken" : "the rule held");
+      System.out.println(isBroken ? "the rule was broken" : "the rule held");
+      exitCode = isBroken ? 1 : 0;
+    } catch (Exception e) {
+      System.out.println("the case could not run: " + e);
+      exitCode = 2;
+    }
+    System.exit(exitCode);
+  }
+}
