--- a/review/harness-2/src/Caller.java
+++ b/review/harness-2/src/Caller.java
@@ -58,6 +58,17 @@
     return answer;
   }
 
+  /** Returns the headers of a turn of {@code program}; {@code previous} is the turn that it continues, or null. */
+  static String turnHeaders(String program, int budgetTokens, int turnTokens, String previous) {
+    return "Chestnutloom-Model: m\r\n"
+        + "Chestnutloom-Program-Id: " + program + "\r\n"
+        + "Chestnutloom-Session-Id: s-" + program + "\r\n"
+        + "Chestnutloom-Program-Deadline-Ms: 60000\r\n"
+        + "Chestnutloom-Token-Budget: " + budgetTokens + "\r\n"
+        + "Chestnutloom-Token-Usage: 1840," + turnTokens + "\r\n"
+        + (previous == null ? "" : "Chestnutloom-Previous-Turn: " + previous + "\r\n");
+  }
+
   @Override
   public void close() throws IOException {
     socket.close();
--- a/review/harness-2/src/Harness.java
+++ b/review/harness-2/src/Harness.java
@@ -27,6 +27,9 @@
 
   static final String ENGINE = "\"engine\":{\"slots\":24,\"kvCapacityTokens\":756054,\"tokensPerEvent\":18}";
 
+  /** Whether each request is recorded; false while very many are sent. */
+  volatile boolean isRecording = true;
+
   private final long startedAt = System.nanoTime();
   private final PrintWriter record;
   private final String network;
@@ -97,6 +100,7 @@
   }
 
   void record(String line) {
+    if (!isRecording) return;
     synchronized (record) {
       record.println(elapsedMs() + " ms " + line);
     }
--- a/review/harness-2/src/Runner.java
+++ b/review/harness-2/src/Runner.java
@@ -113,6 +113,24 @@
     return text.getBytes(StandardCharsets.ISO_8859_1);
   }
 
+  /** Answers every request with a stream of {@code events} events, one each {@code gapMs}. */
+  static Work stream(int events, long gapMs) {
+    return (request, output, socket) -> {
+      output.write(
+          head(
+              200,
+              request.header("Chestnutloom-Attempt-Id"),
+              "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+      for (int i = 0; i < events; i++) {
+        String event = "id: " + i + "\ndata: piece " + i + "\n\n";
+        output.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes(StandardCharsets.US_ASCII));
+        output.flush();
+        Thread.sleep(gapMs);
+      }
+      output.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+    };
+  }
+
   /** Answers every request after {@code workMs} with {@code bodyBytes} bytes. */
   static Work plain(long workMs, int bodyBytes) {
     return (request, output, socket) -> {
