review: a program with budget left is refused for good after a kill of all gateways

Cause: claims of earlier incarnations count as spent, and nothing ends them. Change: a script that kills all gateways once in the middle of a program.

--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -1,17 +1,20 @@
 import java.io.IOException;
-import java.io.OutputStream;
-import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
 
-/** A program sends several photos, each within the limit of a request's body, and goes on from its earlier turns. */
+/** All gateways are killed at once in the middle of a program, and start again. */
 public final class Case8 {
   private static final int TURNS = 8;
+  private static final int TURNS_BEFORE = 2;
   private static final int TRIES = 6;
-  private static final int PHOTO_BYTES = 4_000_000;
-  private static final int NOTE_BYTES = 17_000;
-  private static final int EVENTS = 12;
+  private static final int EVENTS = 32;
+  private static final int TURN_TOKENS = 576;
+  private static final int BUDGET_TOKENS = TURNS * TURN_TOKENS;
+  private static final long DOWN_MS = 1_000;
+  private static final long CALM_MS = 8_000;
   private static final long WAIT_MS = 4_000;
 
+  private static List<Harness.Gateway> gateways;
   private static int firstTurns;
   private static int firstTurnsRun;
 
@@ -20,40 +23,56 @@
   }
 
   private static boolean breaksRule(Harness harness, boolean hasTrouble) throws Exception {
-    for (int i = 0; i < 4; i++) new Runner(harness, "m-" + i, "models", harness.host(31 + i), 0, Case8::stream).register(24);
+    for (int i = 0; i < 4; i++) {
+      new Runner(harness, "m-" + i, "models", harness.host(31 + i), 0, Runner.stream(EVENTS, 5)).register(24);
+    }
     String route =
         Harness.route("r1", "/quote/", "streaming", "models", (int) WAIT_MS, "")
             .replace("\"retained\":false", "\"retained\":true");
     String service = Harness.service("models").replace("\"tls\":false", "\"tls\":false," + Harness.ENGINE);
     harness.store.put("op", "config", Harness.config(1, route, service, Harness.tenant(200, 200)));
-    List<Harness.Gateway> gateways = harness.startGateways(2);
-    Thread.sleep(3_000);
+    gateways = harness.startGateways(2);
+    Thread.sleep(5_000);
 
-    byte[] input = new byte[hasTrouble ? PHOTO_BYTES : NOTE_BYTES];
     String previous = null;
     for (int turn = 1; turn <= TURNS; turn++) {
-      previous = turn(harness, gateways, turn, previous, input);
+      previous = turn(harness, turn, previous);
       if (previous == null) {
         harness.record("turn " + turn + " reached no runner in " + TRIES + " tries");
+        harness.record((turn - 1) * TURN_TOKENS + " of " + BUDGET_TOKENS + " tokens are spent");
         harness.record(firstTurnsRun + " of " + firstTurns + " first turns reached one");
         return firstTurnsRun * 10 >= firstTurns * 9;
       }
+      if (turn == TURNS_BEFORE) {
+        if (hasTrouble) killAll(harness);
+        Thread.sleep(CALM_MS);
+      }
     }
     return false;
   }
 
+  private static void killAll(Harness harness) throws Exception {
+    for (Harness.Gateway gateway : gateways) gateway.signal("KILL");
+    harness.record("kill all gateways");
+    Thread.sleep(DOWN_MS);
+    List<Harness.Gateway> started = new ArrayList<>();
+    for (Harness.Gateway gateway : gateways) started.add(harness.startGateway(gateway.name(), gateway.ip()));
+    for (Harness.Gateway gateway : started) harness.awaitReady(gateway);
+    harness.record("all gateways are ready again");
+    gateways = started;
+  }
+
   /** Sends a turn until it is answered whole, and returns its id, or null if none of the tries reached a runner. */
-  private static String turn(
-      Harness harness, List<Harness.Gateway> gateways, int turn, String previous, byte[] input) throws Exception {
+  private static String turn(Harness harness, int turn, String previous) throws Exception {
     for (int attempt = 0; attempt < TRIES; attempt++) {
       Harness.Gateway gateway = gateways.get((turn + attempt) % gateways.size());
       String id = "turn-" + turn + "-" + attempt;
-      Http.Message answer = send(harness, gateway, id, "p1", previous, input);
+      Http.Message answer = send(harness, gateway, id, "p1", previous);
       if (answer != null && answer.status() == 200 && answer.isComplete) return id;
       if (harness.hasRun(id)) throw new IOException("the turn ran, but was not answered whole");
       // The first turn of another program, at the same gateway.
       String other = "other-" + turn + "-" + attempt;
-      send(harness, gateway, other, other, null, new byte[NOTE_BYTES]);
+      send(harness, gateway, other, other, null);
       firstTurns++;
       if (harness.hasRun(other)) firstTurnsRun++;
       Thread.sleep(300);
@@ -62,35 +81,11 @@
   }
 
   private static Http.Message send(
-      Harness harness, Harness.Gateway gateway, String id, String program, String previous, byte[] input)
-      throws IOException {
-    String headers =
-        "Chestnutloom-Model: m\r\n"
-            + "Chestnutloom-Program-Id: " + program + "\r\n"
-            + "Chestnutloom-Session-Id: s1\r\n"
-            + "Chestnutloom-Program-Deadline-Ms: 60000\r\n"
-            + "Chestnutloom-Token-Budget: 20000\r\n"
-            + "Chestnutloom-Token-Usage: 1840,576\r\n"
-            + (previous == null ? "" : "Chestnutloom-Previous-Turn: " + previous + "\r\n");
+      Harness harness, Harness.Gateway gateway, String id, String program, String previous) throws IOException {
+    String headers = Caller.turnHeaders(program, BUDGET_TOKENS, TURN_TOKENS, previous);
     try (Caller caller = new Caller(harness, gateway, 0)) {
-      caller.send("POST", "/quote/chair", id, WAIT_MS, headers, input);
+      caller.send("POST", "/quote/chair", id, WAIT_MS, headers, new byte[1_000]);
       return caller.receive(id);
     }
   }
-
-  private static void stream(Http.Message request, OutputStream output, Socket socket)
-      throws IOException, InterruptedException {
-    output.write(
-        Runner.head(
-            200,
-            request.header("Chestnutloom-Attempt-Id"),
-            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
-    for (int i = 0; i < EVENTS; i++) {
-      String event = "id: " + i + "\ndata: piece " + i + "\n\n";
-      output.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes());
-      output.flush();
-      Thread.sleep(20);
-    }
-    output.write("0\r\n\r\n".getBytes());
-  }
 }
