--- a/review/harness-2/src/Case.java
+++ b/review/harness-2/src/Case.java
@@ -1,12 +1,17 @@
 import java.nio.file.Path;
 
-/** Runs one case and exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run. */
+/** Runs one case and exits with 10 if the rule was broken, with 0 if it held, and with 2 if the case could not run. */
 final class Case {
   /** Returns whether the rule was broken; {@code hasTrouble} is false for the same run without the disruption. */
   interface Scenario {
     boolean breaksRule(Harness harness, boolean hasTrouble) throws Exception;
   }
 
+  /** Not 1, with which the JVM exits by itself. */
+  private static final int BROKEN = 10;
+
+  private static final int COULD_NOT_RUN = 2;
+
   private Case() {}
 
   static void run(String folder, Scenario scenario) {
@@ -18,10 +23,10 @@
       boolean isBroken = scenario.breaksRule(harness, hasTrouble);
       harness.record(isBroken ? "the rule was broken" : "the rule held");
       System.out.println(isBroken ? "the rule was broken" : "the rule held");
-      exitCode = isBroken ? 1 : 0;
-    } catch (Exception e) {
+      exitCode = isBroken ? BROKEN : 0;
+    } catch (Exception | Error e) {
       System.out.println("the case could not run: " + e);
-      exitCode = 2;
+      exitCode = COULD_NOT_RUN;
     }
     System.exit(exitCode);
   }
