--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -19,7 +19,7 @@
   private static int firstTurnsRun;
 
   public static void main(String[] arguments) {
-    Case.run("8", Case8::breaksRule);
+    Case.run(arguments, Case8::breaksRule);
   }
 
   private static boolean breaksRule(Harness harness, boolean hasTrouble) throws Exception {
--- a/review/harness-2/src/Case.java
+++ b/review/harness-2/src/Case.java
@@ -14,11 +14,12 @@
 
   private Case() {}
 
-  static void run(String folder, Scenario scenario) {
+  /** The first of {@code arguments} names the file for what was sent, answered and run. */
+  static void run(String[] arguments, Scenario scenario) {
     boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
     int exitCode;
     try {
-      Harness harness = new Harness(Path.of("review", folder, "record.txt"));
+      Harness harness = new Harness(Path.of(arguments[0]));
       harness.record(hasTrouble ? "with the disruption" : "without the disruption");
       boolean isBroken = scenario.breaksRule(harness, hasTrouble);
       harness.record(isBroken ? "the rule was broken" : "the rule held");
