Name each turn in its program's budget before it starts

Cause: a gateway claimed two turns ahead, and what it had spent of the claim was known to itself alone. The refusal's log says claimed_by_others=4032, of which 2,880 were claims of the two killed incarnations, which had spent 1,152.

Change: a claim names the turns in progress by their ids, and is written before each of them. A turn that was answered whole is stored with the number of its tokens and counted from there; others are written at their end. While the store is slow or away, one incarnation for each program may run a single turn that no claim names. The one turn by which the rule lets a program exceed its budget covers it, also if that incarnation is lost.

Why it works: a kill leaves unknown only turns that were not answered whole. Nothing is taken from a gateway that is paused or cut off, so that nothing can be spent twice.

Without outages it stays the budget, with kills and lost responses, in a test of its own.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
@@ -45,13 +45,13 @@
         when (request) {
             is ReadStore -> read(request)
             is ChangeStore -> change(request)
-            is TrimBudget -> trim(request)
+            is TrimBudget -> settle(request)
             is FindTurn -> TurnFound(turns.find(request.turn)?.takeIf { it.size <= MAX_TURN_BYTES })
             else -> refusal("Edge gateways do not support this request type.")
         }
 
-    private suspend fun trim(request: TrimBudget): LinkReply {
-        budgets.trim(request.program)
+    private suspend fun settle(request: TrimBudget): LinkReply {
+        budgets.settle(request.program)
         return Done
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -11,6 +11,8 @@
 import org.chestnutloom.common.node.Node
 import org.chestnutloom.common.node.NodeEndpoints
 import org.chestnutloom.edge.budget.BudgetAllocator
+import org.chestnutloom.edge.budget.BudgetHolder
+import org.chestnutloom.edge.budget.BudgetRows
 import org.chestnutloom.edge.call.CallDispatcher
 import org.chestnutloom.edge.call.CallFactory
 import org.chestnutloom.edge.call.CallMetrics
@@ -130,9 +132,15 @@
     private val quotaServer = QuotaServer(heartbeats.quotas, configurations, socket, loop.scope)
     private val links = PeerLinks(settings.self, clock, loop.scope)
     private val store = RelayingRowStore(ownStore, storeHealth, fleet, links)
-    private val budgets =
-        BudgetAllocator(store, FleetBudgetPeers(fleet, links), settings.self.gateway, settings.self.incarnation)
     private val turns = TurnStore(TurnRows(store, settings.rowBytes), FleetTurnPeers(fleet, links), store, clock)
+    private val budgets =
+        BudgetAllocator(
+            BudgetRows(store),
+            FleetBudgetPeers(fleet, links),
+            turns::generatedTokens,
+            BudgetHolder(settings.self.gateway, settings.self.incarnation),
+            loop.scope,
+        )
     private val memberRegistry = MemberRegistry(store, self, memberCodec)
     private val shutdownDeadline = ShutdownDeadline()
     private val limits = IngressLimits { configurations.current?.limits ?: INITIAL_LIMITS }
@@ -206,7 +214,7 @@
         logger.event("ingress_closed", "busy" to ingress.isBusy)
         ingress.stopListening()
         prefetch.returnAll()
-        withTimeoutOrNull(TRIM_TIMEOUT) { budgets.trimAll() }
+        withTimeoutOrNull(SETTLE_TIMEOUT) { budgets.settleAll() }
         withTimeoutOrNull(UNREGISTER_TIMEOUT) { memberRegistry.unregister(fleet.ownRowVersion) }
         links.stop()
         socket.stop()
@@ -241,14 +249,12 @@
             configurations,
             adapter.callCodec,
             AccountAdmission(heartbeats.quotas, prefetch),
-            budgets,
             turns,
             CallFactory(budgets, turns, Random.Default, shutdownDeadline),
             dispatcher,
             quarantine,
             CallMetrics(metrics),
             clock,
-            loop.scope,
         )
     }
 
@@ -272,7 +278,7 @@
 
         /** The part of the grace period that remains for the last steps of a shutdown, after requests have ended. */
         private val EXIT_MARGIN = 1.seconds
-        private val TRIM_TIMEOUT = 500.milliseconds
+        private val SETTLE_TIMEOUT = 500.milliseconds
         private val UNREGISTER_TIMEOUT = 250.milliseconds
         private val DRAIN_POLL_INTERVAL = 20.milliseconds
         private const val STATUS_OK = 200
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
@@ -1,224 +1,263 @@
 package org.chestnutloom.edge.budget
 
 import arrow.core.Either
-import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.call.Execution
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.common.log.event
 import org.chestnutloom.common.log.warnEvent
-import org.chestnutloom.edge.codec.CborCodec
 import org.chestnutloom.edge.store.ChangeFailure
-import org.chestnutloom.edge.store.RowChange
-import org.chestnutloom.edge.store.RowCondition
-import org.chestnutloom.edge.store.RowKey
-import org.chestnutloom.edge.store.RowPut
-import org.chestnutloom.edge.store.RowStore
-import org.chestnutloom.edge.store.StoredRow
 import org.chestnutloom.edge.store.storeUnavailable
-import org.chestnutloom.id.GatewayId
-import org.chestnutloom.id.Incarnation
+import org.chestnutloom.id.CallId
+import org.chestnutloom.id.ClientAccountId
 import org.chestnutloom.id.ProgramId
-import org.chestnutloom.store.StoreFailure
+import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
 
 /**
  * Enforces token budgets of programs across gateways, restarts and store outages; confined to the event loop.
  *
- * A gateway claims a part of the budget by a conditional write of the program's row, and spends only what it has
- * claimed. A claim exceeds the needs of a single turn, so that most turns need no call to the store and continue while
- * the store is unavailable. The claims of a failed gateway count as spent, so the excess is limited to a few turns, and to
- * fewer if other gateways hold claims. A turn is refused as over budget only if the tokens that are known to be spent
- * leave no room for it; otherwise its caller may try again.
+ * The program's row in the store names each turn in progress with the most that it may spend, so that the failure of a
+ * gateway leaves only the turns unknown that it had not ended. What such a turn spent is read from the stored turn, if it
+ * was answered whole; otherwise it counts at its most.
+ *
+ * One gateway of the fleet holds the overdraft of a program: while the store is slow or unavailable, it may run a single
+ * turn that the row does not name yet. All turns together therefore exceed the budget by at most one turn.
+ *
+ * A turn is refused as over budget only if the tokens that are known to be spent leave no room for it; otherwise its caller
+ * may try again.
+ *
+ * @param scope runs the writes that no caller waits for
+ * @param maxPrograms the number of programs whose budgets are kept in memory
  */
 public class BudgetAllocator(
-    private val store: RowStore,
+    private val rows: BudgetRows,
     private val peers: BudgetPeers,
-    private val gateway: GatewayId,
-    private val incarnation: Incarnation,
+    private val storedTurns: SpentTokensReader,
+    private val self: BudgetHolder,
+    private val scope: CoroutineScope,
+    private val maxPrograms: Int = MAX_PROGRAMS,
 ) {
-    private val codec = CborCodec(BudgetRow.serializer())
     private val budgets = LinkedHashMap<ProgramId, ProgramBudget>(INITIAL_PROGRAMS, LOAD_FACTOR, true)
 
-    /** Reserves [maxTokens] of the total [budgetTokens] of [program] for a turn, or refuses the turn as not run. */
+    /** Reserves [maxTokens] of the total [budgetTokens] of [program] for [turn], or refuses the turn as not run. */
     public suspend fun reserve(
         program: ProgramId,
         budgetTokens: Long,
         maxTokens: Long,
+        turn: CallId,
+        account: ClientAccountId? = null,
     ): Either<Refusal, Reservation> {
         val budget = budgetOf(program)
-        if (budget.neededFor(maxTokens) > budget.claimedTokens) {
-            budget.claiming
-                .withLock { claim(program, budget, budgetTokens, maxTokens) }
-                .onLeft { return it.left() }
+        val request = TurnTokens(program, budgetTokens, maxTokens, turn, account)
+        val reservation =
+            Reservation(turn, maxTokens) { ended, usedTokens, isStored ->
+                val isUnwritten = budget.isOnOverdraft(ended)
+                budget.end(ended, usedTokens)
+                if (isUnwritten || !isStored) writeSoon(program, budget)
+            }
+        // Not cancelled when the caller leaves, so that the outcome of the write is known.
+        val claim = scope.async { budget.claiming.withLock { claim(request, budget, reservation) } }
+        try {
+            val failure = awaitClaim(claim, request, budget) ?: return reservation.right()
+            val canStart = failure.isStoreFailure && budget.allowsOverdraft(budgetTokens, maxTokens)
+            if (!canStart) return failure.refusal.left()
+            budget.startOnOverdraft(reservation)
+            return reservation.right()
+        } catch (e: CancellationException) {
+            reservation.complete(usedTokens = 0)
+            throw e
         }
-        val startsProgram = budget.isUnused
-        budget.reservedTokens += maxTokens
-        return Reservation(budget, maxTokens, startsProgram).right()
     }
 
     /**
-     * Releases the part of the claim on the budget of [program] that its turns in progress do not need, and records what
-     * is spent of the rest.
+     * Returns why [claim] failed, or null on success.
+     *
+     * While the turn could start on the overdraft, a claim that takes long counts as failed, but goes on.
      */
-    public suspend fun trim(program: ProgramId) {
+    private suspend fun awaitClaim(
+        claim: Deferred<ClaimFailure?>,
+        request: TurnTokens,
+        budget: ProgramBudget,
+    ): ClaimFailure? {
+        if (!budget.allowsOverdraft(request.budgetTokens, request.maxTokens)) return claim.await()
+        withTimeoutOrNull(MAX_CLAIM_WAIT) { claim.join() }
+        if (claim.isCompleted || !budget.allowsOverdraft(request.budgetTokens, request.maxTokens)) return claim.await()
+        return ClaimFailure(storeUnavailable("The store is slow."), isStoreFailure = true)
+    }
+
+    /** Records what is spent of the budget of [program], and that its turns which have ended need no more. */
+    public suspend fun settle(program: ProgramId) {
         val budget = budgets[program] ?: return
+        settle(program, budget)
+    }
+
+    /** Returns whether the row contains the current claim. */
+    private suspend fun settle(
+        program: ProgramId,
+        budget: ProgramBudget,
+    ): Boolean =
         budget.claiming.withLock {
             repeat(MAX_ATTEMPTS) {
-                val needed = budget.neededFor(maxTokens = 0)
-                if (needed >= budget.claimedTokens && budget.isSpendingRecorded) return
-                // Lowered before the write, so that no turn can reserve tokens that are being released.
-                budget.claimedTokens = needed
-                val failure = write(program, budget, needed)
-                if (failure is ChangeFailure.Failed) return logTrimFailure(program, failure)
-                if (failure is ChangeFailure.Conflict) {
-                    applyRow(program, budget, failure.current)?.let { return logTrimFailure(program, it) }
+                if (!budget.isOutdated) return true
+                val failure = write(program, budget, starting = null)
+                if (failure is ChangeFailure.Failed) {
+                    logger.warnEvent("budget_settle_failed", "program" to program, "cause" to failure.cause)
+                    return false
                 }
             }
+            return !budget.isOutdated
+        }
+
+    /**
+     * Settles all budgets for which neither the row nor a stored turn tells what is spent, until cancelled; several at a
+     * time, most recently used programs first.
+     */
+    public suspend fun settleAll() {
+        val unsettled =
+            budgets.entries
+                .filter { it.value.needsWrite }
+                .map { it.key to it.value }
+                .asReversed()
+        unsettled.chunked(CONCURRENT_SETTLEMENTS).forEach { part ->
+            coroutineScope { part.map { (program, budget) -> async { settle(program, budget) } }.awaitAll() }
         }
     }
 
-    /** Releases the unneeded parts of all claims until cancelled, most recently used programs first. */
-    public suspend fun trimAll() {
-        budgets.keys
-            .toList()
-            .asReversed()
-            .forEach { trim(it) }
+    /** Writes the claim without letting a caller wait. */
+    private fun writeSoon(
+        program: ProgramId,
+        budget: ProgramBudget,
+    ) {
+        if (budget.isSettling) return
+        budget.isSettling = true
+        scope.launch {
+            try {
+                repeat(SETTLE_TRIES) {
+                    if (settle(program, budget)) return@launch
+                    delay(SETTLE_RETRY_DELAY)
+                }
+            } finally {
+                budget.isSettling = false
+            }
+        }
     }
 
     private fun budgetOf(program: ProgramId): ProgramBudget {
-        val budget = budgets.getOrPut(program) { ProgramBudget() }
-        if (budgets.size > MAX_PROGRAMS) evictOldestIdle()
+        val budget = budgets.getOrPut(program) { ProgramBudget(self) }
+        if (budgets.size > maxPrograms) evictOldestIdle(except = budget)
         return budget
     }
 
-    private fun evictOldestIdle() {
-        val oldest = budgets.entries.iterator()
+    /** Forgets the budget that was not used for the longest time, unless the store does not know all of its turns. */
+    private fun evictOldestIdle(except: ProgramBudget) {
+        val oldest = budgets.values.iterator()
         while (oldest.hasNext()) {
-            val entry = oldest.next()
-            if (entry.value.reservedTokens > 0 || entry.value.claiming.isLocked) continue
+            val budget = oldest.next()
+            if (budget === except || budget.isBusy || budget.hasUnwrittenTurn) continue
             oldest.remove()
             return
         }
     }
 
     private suspend fun claim(
-        program: ProgramId,
+        request: TurnTokens,
         budget: ProgramBudget,
-        budgetTokens: Long,
-        maxTokens: Long,
-    ): Either<Refusal, Unit> {
-        var arePeersTrimmed: Boolean? = null
+        reservation: Reservation,
+    ): ClaimFailure? {
+        var arePeersSettled: Boolean? = null
         repeat(MAX_ATTEMPTS) {
-            val needed = budget.neededFor(maxTokens)
-            if (needed <= budget.claimedTokens) return Unit.right()
-            val free = budgetTokens - budget.otherClaims.sumOf { it.tokens }
-            if (needed > free && arePeersTrimmed == true) {
-                return noneLeft(program, budget, budgetTokens, maxTokens).left()
-            }
-            if (needed > free && arePeersTrimmed == false) return contended().left()
+            // The turn has started on the overdraft meanwhile, or its caller has left.
+            if (reservation.isStarted || reservation.isCompleted) return null
+            val isShort = request.maxTokens > budget.freeTokens(request.budgetTokens)
+            if (isShort && arePeersSettled == true) return ClaimFailure(noneLeft(request, budget))
+            if (isShort && arePeersSettled == false) return ClaimFailure(contended())
             val failure =
-                if (needed > free) {
-                    arePeersTrimmed = peers.trim(program, budget.otherClaims)
-                    read(program, budget)
+                if (isShort) {
+                    arePeersSettled = peers.settle(request.program, budget.otherClaims)
+                    readSettled(request, budget)
                 } else {
-                    write(program, budget, minOf(free, needed + aheadTokens(budget, budgetTokens, maxTokens)))
+                    write(request.program, budget, reservation)
                 }
-            if (failure is ChangeFailure.Failed) return claimFailed(program, failure).left()
-            if (failure is ChangeFailure.Conflict) {
-                applyRow(program, budget, failure.current)?.let { return claimFailed(program, it).left() }
+            if (failure is ChangeFailure.Failed) {
+                return ClaimFailure(claimFailed(request.program, failure), isStoreFailure = true)
             }
+            if (failure == null && !isShort) return null.also { start(request.program, budget, reservation) }
         }
-        return contended().left()
-    }
-
-    /** Returns by how much a claim exceeds the current need. */
-    private fun aheadTokens(
-        budget: ProgramBudget,
-        budgetTokens: Long,
-        maxTokens: Long,
-    ): Long {
-        val turns = (MAX_TURNS_AHEAD - budget.unsettledClaimCount).coerceAtLeast(0)
-        return minOf(turns * maxTokens, budgetTokens / PREALLOCATION_DIVISOR)
+        return ClaimFailure(contended())
     }
 
-    /** Reads the row, and returns the failure, or null on success. */
-    private suspend fun read(
+    /** Starts [reservation], which has been claimed, unless its caller has left meanwhile. */
+    private fun start(
         program: ProgramId,
         budget: ProgramBudget,
-    ): ChangeFailure? {
-        val snapshot = store.read(TABLE_NAME, program.value).getOrElse { return ChangeFailure.Failed(it) }
-        return applyRow(program, budget, snapshot.rows)
+        reservation: Reservation,
+    ) {
+        if (reservation.isCompleted) writeSoon(program, budget) else budget.start(reservation)
     }
 
-    /** Writes the claim, and returns the failure, or null on success. */
-    private suspend fun write(
-        program: ProgramId,
+    /** Reads the row and what the turns of other gateways in it have spent; returns the failure, or null on success. */
+    private suspend fun readSettled(
+        request: TurnTokens,
         budget: ProgramBudget,
-        tokens: Long,
-    ): ChangeFailure? {
-        val key = keyOf(program)
-        val spentTokens = budget.knownSpentTokens
-        budget.hasClaimed = true
-        val row = BudgetRow(budget.otherClaims + BudgetClaim(gateway, incarnation, tokens, spentTokens))
-        val change =
-            RowChange(
-                conditions = listOf(RowCondition(key, budget.rowVersion)),
-                puts = listOf(RowPut(key, codec.encode(row))),
-            )
-        val version = store.change(change).getOrElse { return it }
-        budget.rowVersion = version
-        budget.claimedTokens = tokens
-        budget.recordedSpentTokens = spentTokens
+    ): ChangeFailure.Failed? {
+        rows.read(request.program, budget)?.let { return it }
+        val pending = budget.otherClaims.flatMap { it.pending }.map { it.turn }
+        val spent = pending.mapNotNull { turn -> storedTurns.read(turn, request.account)?.let { turn to it } }
+        budget.settle(spent.toMap())
         return null
     }
 
-    /** Applies the row among [current], and returns the failure if it cannot be decoded, or null on success. */
-    private fun applyRow(
+    /**
+     * Writes the claim, which includes [starting] if it is given, and returns the failure, or null on success.
+     *
+     * After a conflict the current row has been applied. If the outcome is unknown, the claim is written again later.
+     */
+    private suspend fun write(
         program: ProgramId,
         budget: ProgramBudget,
-        current: List<StoredRow>,
-    ): ChangeFailure.Failed? {
-        val row = current.firstOrNull { it.key == keyOf(program) }
-        val value = row?.value
-        if (value == null) {
-            budget.updateOtherClaims(emptyList(), version = 0)
-            return null
+        starting: Reservation?,
+    ): ChangeFailure? {
+        var failure: ChangeFailure? = null
+        var isAnswered = false
+        try {
+            failure = rows.write(program, budget, starting)
+            isAnswered = failure !is ChangeFailure.Failed
+        } finally {
+            if (!isAnswered) budget.isWriteUncertain = true
+            if (!isAnswered && starting != null) writeSoon(program, budget)
         }
-        val claims =
-            codec
-                .decode(value)
-                .getOrElse {
-                    return ChangeFailure.Failed(
-                        StoreFailure.Malformed("the budget is malformed: ${it.detail}"),
-                    )
-                }.claims
-        val (own, others) = claims.partition { it.gateway == gateway && it.incarnation == incarnation }
-        budget.updateOtherClaims(others, row.version)
-        budget.updateOwnClaim(own.sumOf { it.tokens }, own.sumOf { it.spentTokens })
-        return null
+        return failure
     }
 
     /** Refuses a turn for which the claims of gateways leave no room. */
     private fun noneLeft(
-        program: ProgramId,
+        request: TurnTokens,
         budget: ProgramBudget,
-        budgetTokens: Long,
-        maxTokens: Long,
     ): Refusal {
-        val claimedTokens = budget.otherClaims.sumOf { it.tokens }
-        val isExhausted = budget.isExhausted(budgetTokens, maxTokens, peers::isRegistered)
+        val isExhausted = budget.isExhausted(request.budgetTokens, request.maxTokens, peers::isRegistered)
         logger.event(
             if (isExhausted) "budget_exhausted" else "budget_unsettled",
-            "program" to program,
-            "budget" to budgetTokens,
-            "needed" to budget.neededFor(maxTokens),
-            "claimed_by_others" to claimedTokens,
+            "program" to request.program,
+            "budget" to request.budgetTokens,
+            "needed" to request.maxTokens,
+            "claimed" to request.budgetTokens - budget.freeTokens(request.budgetTokens),
+            "claimed_by_others" to budget.otherClaims.sumOf { it.tokens },
+            "pending_at_others" to budget.otherClaims.flatMap { it.pending }.joinToString(" ") { it.turn.value },
         )
         if (!isExhausted) return unsettled()
         return Refusal(RefusalCode.BUDGET_EXHAUSTED, Execution.NOT_RUN, "The program's token budget is exhausted.")
@@ -232,13 +271,6 @@
         return storeUnavailable("The budget cannot be reserved in the store.")
     }
 
-    private fun logTrimFailure(
-        program: ProgramId,
-        failure: ChangeFailure.Failed,
-    ) {
-        logger.warnEvent("budget_trim_failed", "program" to program, "cause" to failure.cause)
-    }
-
     private fun contended(): Refusal =
         storeUnavailable("The budget is being reserved by another gateway.").copy(retryAfterMs = CONTENDED_RETRY_MS)
 
@@ -251,23 +283,30 @@
             CONTENDED_RETRY_MS,
         )
 
-    private fun keyOf(program: ProgramId): RowKey = RowKey(TABLE_NAME, program.value, ROW_NAME)
+    /**
+     * Why the tokens of a turn could not be claimed.
+     *
+     * @property isStoreFailure whether the store did not acknowledge the claim, so that the overdraft may serve
+     */
+    private class ClaimFailure(
+        val refusal: Refusal,
+        val isStoreFailure: Boolean = false,
+    )
 
     private companion object {
-        private const val TABLE_NAME = "programs"
-        private const val ROW_NAME = "budget"
         private const val INITIAL_PROGRAMS = 64
         private const val LOAD_FACTOR = 0.75f
         private const val MAX_PROGRAMS = 20_000
-        private const val MAX_ATTEMPTS = 4
+        private const val MAX_ATTEMPTS = 8
 
         /** Another gateway writes its claim within this time. */
         private const val CONTENDED_RETRY_MS = 500L
 
-        /** A claim exceeds the current need, which the caller states, by at most the budget divided by this number. */
-        private const val PREALLOCATION_DIVISOR = 3L
+        /** Well above the normal latency of the store, and short for a caller who waits for a model's first token. */
+        private val MAX_CLAIM_WAIT = 25.milliseconds
 
-        /** A claim exceeds the current need by at most this number of turns, which a store outage does not stop. */
-        private const val MAX_TURNS_AHEAD = 2
+        private const val CONCURRENT_SETTLEMENTS = 32
+        private const val SETTLE_TRIES = 10
+        private val SETTLE_RETRY_DELAY = 1_000.milliseconds
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetPeers.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetPeers.kt
@@ -5,11 +5,11 @@
 /** The other gateways as holders of budget claims. */
 public fun interface BudgetPeers {
     /**
-     * Asks the gateways that hold [claims] to release what they do not need of the budget of [program].
+     * Asks the gateways that hold [claims] to record what they have spent of the budget of [program].
      *
      * Returns whether every holder that may still be alive has done so.
      */
-    public suspend fun trim(
+    public suspend fun settle(
         program: ProgramId,
         claims: List<BudgetClaim>,
     ): Boolean
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
@@ -19,6 +19,7 @@
 import org.chestnutloom.edge.turn.TurnChain
 import org.chestnutloom.edge.turn.TurnFailure
 import org.chestnutloom.edge.turn.TurnStore
+import org.chestnutloom.id.CallId
 import kotlin.random.Random
 
 /** Builds calls: selects the service, loads the chain of a turn and reserves its tokens. */
@@ -57,7 +58,7 @@
             callerDeadline = callerDeadline,
             body = chain?.requestBody(request.body) ?: request.body,
             chain = chain,
-            reservation = reserveTokens(route, head),
+            reservation = reserveTokens(id, route, head, account),
         )
     }
 
@@ -90,14 +91,16 @@
         }
 
     private suspend fun Raise<Refusal>.reserveTokens(
+        id: CallId,
         route: Route,
         head: CallHead,
+        account: AccountSettings?,
     ): Reservation? {
         if (route.kind != RouteKind.STREAMING) return null
         val program = head.program ?: return null
         val budgetTokens = head.tokenBudget ?: return null
         if (!StoreLimits.allowsName(program.value)) raise(badRequest("The program's id is too long."))
-        return budgets.reserve(program, budgetTokens, head.maxOutputTokens).bind()
+        return budgets.reserve(program, budgetTokens, head.maxOutputTokens, id, account?.id).bind()
     }
 
     private fun badRequest(detail: String): Refusal = Refusal(RefusalCode.BAD_REQUEST, Execution.NOT_RUN, detail)
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -3,12 +3,9 @@
 import arrow.core.raise.Raise
 import arrow.core.raise.either
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.launch
 import org.chestnutloom.call.Execution
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.call.RefusalCode
-import org.chestnutloom.edge.budget.BudgetAllocator
 import org.chestnutloom.edge.config.AccountSettings
 import org.chestnutloom.edge.config.ConfigurationHolder
 import org.chestnutloom.edge.config.EdgeConfiguration
@@ -29,14 +26,12 @@
     private val configurations: ConfigurationHolder,
     private val codec: CallCodec,
     private val admission: AccountAdmission,
-    private val budgets: BudgetAllocator,
     private val turns: TurnStore,
     private val calls: CallFactory,
     private val dispatcher: CallDispatcher,
     private val quarantine: RequestQuarantine,
     private val metrics: CallMetrics,
     private val clock: Clock,
-    private val scope: CoroutineScope,
 ) : CallerHandler {
     override suspend fun handle(
         request: CallerRequest,
@@ -54,7 +49,6 @@
             context.ending = exchange.ending
             context.call?.reservation?.complete(usedTokens = 0)
             refundUnusedQuota(context)
-            releaseUnstartedProgram(context)
             val elapsed = clock.elapsed() - context.startedAt
             metrics.record(context, elapsed)
             RequestLog.write(request, context, elapsed)
@@ -140,13 +134,6 @@
         if (context.runs == 0) context.quotaGrant?.refund()
     }
 
-    /** Releases the budget claim of a program that did not start, so that all gateways see it as not started. */
-    private fun releaseUnstartedProgram(context: RequestLogContext) {
-        val program = context.head?.program ?: return
-        val isUnstarted = context.call?.startsProgram == true && context.runs == 0
-        if (isUnstarted) scope.launch { budgets.trim(program) }
-    }
-
     private fun quarantined(remaining: Duration): Refusal =
         Refusal(
             RefusalCode.QUARANTINED,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
@@ -218,10 +218,14 @@
         val reservation = call.reservation ?: return
         // The caller may have counted the partial event at which the stream was aborted.
         val countedEvents = if (isComplete) events.eventCount else events.eventCount + 1
-        val tokensPerEvent = call.service.engine?.tokensPerEvent ?: 1
-        reservation.complete(countedEvents.toLong() * tokensPerEvent)
+        reservation.complete(tokensOf(call, countedEvents), isStored = isComplete && call.chain != null)
     }
 
+    private fun tokensOf(
+        call: RoutedCall,
+        eventCount: Int,
+    ): Long = eventCount.toLong() * (call.service.engine?.tokensPerEvent ?: 1)
+
     private fun turnOf(
         call: RoutedCall,
         chain: TurnChain,
@@ -235,6 +239,7 @@
             input = call.request.body,
             output = events.output(),
             target = target.entry.id,
+            generatedTokens = tokensOf(call, events.eventCount),
         )
 
     private suspend fun collect(
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetBudgetPeers.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetBudgetPeers.kt
@@ -9,26 +9,26 @@
 import org.chestnutloom.wire.message.TrimBudget
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Asks the other gateways of the fleet to release unneeded parts of their budget claims. */
+/** Asks the other gateways of the fleet to record what they have spent of budgets. */
 internal class FleetBudgetPeers(
     private val fleet: Fleet,
     private val links: PeerLinks,
 ) : BudgetPeers {
-    override suspend fun trim(
+    override suspend fun settle(
         program: ProgramId,
         claims: List<BudgetClaim>,
     ): Boolean {
         val holders = fleet.peers.filter { peer -> claims.any { isHeldBy(it, peer.member) } }
-        val replies = coroutineScope { holders.map { async { requestTrim(it, program) } }.awaitAll() }
+        val replies = coroutineScope { holders.map { async { requestSettlement(it, program) } }.awaitAll() }
         return replies.all { it }
     }
 
     override fun isRegistered(claim: BudgetClaim): Boolean = fleet.peers.any { isHeldBy(claim, it.member) }
 
-    private suspend fun requestTrim(
+    private suspend fun requestSettlement(
         holder: Peer,
         program: ProgramId,
-    ): Boolean = !holder.isUnresponsive && links.request(holder.member, TrimBudget(program), TRIM_TIMEOUT).isRight()
+    ): Boolean = !holder.isUnresponsive && links.request(holder.member, TrimBudget(program), SETTLE_TIMEOUT).isRight()
 
     private fun isHeldBy(
         claim: BudgetClaim,
@@ -36,6 +36,6 @@
     ): Boolean = claim.gateway == member.gateway && claim.incarnation == member.incarnation
 
     private companion object {
-        private val TRIM_TIMEOUT = 400.milliseconds
+        private val SETTLE_TIMEOUT = 400.milliseconds
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnRecord.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnRecord.kt
@@ -14,6 +14,7 @@
  * @property input the request body, which holds only the new input
  * @property output the data of the events in the response, each followed by a line feed
  * @property target the target that ran the turn
+ * @property generatedTokens the number of tokens in the response, or null in records of earlier builds
  */
 @Serializable
 public class TurnRecord(
@@ -23,6 +24,7 @@
     public val input: ByteArray,
     public val output: ByteArray,
     public val target: TargetId,
+    public val generatedTokens: Long? = null,
 ) {
     /** The approximate size in memory. */
     public val sizeBytes: Int
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
@@ -103,6 +103,12 @@
     /** Returns the encoded turn if it is in the cache, otherwise null. */
     public fun find(turn: CallId): ByteArray? = recent.get(turn)?.let(codec::encode)
 
+    /** Returns how many tokens [turn] generated, or null if it is not stored as a turn of [account] or cannot be read. */
+    public suspend fun generatedTokens(
+        turn: CallId,
+        account: ClientAccountId?,
+    ): Long? = load(turn).getOrNull()?.takeIf { it.account == account }?.generatedTokens
+
     private suspend fun load(turn: CallId): Either<TurnFailure, TurnRecord> {
         recent.get(turn)?.let { return it.right() }
         val bytes = rows.read(turn).getOrElse { return findAtPeers(turn, it) } ?: return TurnFailure.NotFound.left()
--- /dev/null
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetModel.kt
@@ -0,0 +1,286 @@
+package org.chestnutloom.edge.budget
+
+import arrow.core.Either
+import arrow.core.left
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.plus
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.UnconfinedTestDispatcher
+import org.chestnutloom.call.RefusalCode
+import org.chestnutloom.edge.store.ChangeFailure
+import org.chestnutloom.edge.store.InMemoryRowStore
+import org.chestnutloom.edge.store.RowChange
+import org.chestnutloom.edge.store.RowStore
+import org.chestnutloom.id.CallId
+import org.chestnutloom.id.GatewayId
+import org.chestnutloom.id.Incarnation
+import org.chestnutloom.id.ProgramId
+import org.chestnutloom.store.StoreFailure
+
+/** What happens to a fleet in a [BudgetModel]; events at gateways name them by index. */
+internal sealed interface BudgetEvent {
+    /** A caller sends a turn, which is stored at its end if [isRetained]. */
+    data class Begin(
+        val gateway: Int,
+        val isRetained: Boolean,
+    ) : BudgetEvent
+
+    /** The oldest turn in progress ends whole. */
+    data class End(
+        val gateway: Int,
+    ) : BudgetEvent
+
+    /** The oldest turn in progress breaks off. */
+    data class Break(
+        val gateway: Int,
+    ) : BudgetEvent
+
+    /** The caller of the last turn that is not admitted yet leaves. */
+    data class Leave(
+        val gateway: Int,
+    ) : BudgetEvent
+
+    /** The gateway is killed and starts again. */
+    data class Kill(
+        val gateway: Int,
+    ) : BudgetEvent
+
+    /** The gateway is paused, or continues. */
+    data class Pause(
+        val gateway: Int,
+    ) : BudgetEvent
+
+    /** Another program replaces this one in the gateway's memory. */
+    data class Evict(
+        val gateway: Int,
+    ) : BudgetEvent
+
+    /** How the store handles changes from now on. */
+    data class Store(
+        val mode: StoreMode,
+    ) : BudgetEvent
+
+    /** The store applies the changes that it holds, if their conditions still hold. */
+    data object ApplyHeld : BudgetEvent
+}
+
+/** How the store of a [BudgetModel] handles changes. */
+internal enum class StoreMode {
+    SOUND,
+    UNAVAILABLE,
+
+    /** Changes are applied, and their responses are lost. */
+    LOSING_RESPONSES,
+
+    /** Changes get no response, and are applied later. */
+    LATE,
+
+    /** Changes are applied and answered later. */
+    SLOW,
+}
+
+/** A store that can hold changes back. */
+private class ModelStore(
+    private val store: InMemoryRowStore,
+) : RowStore by store {
+    var mode = StoreMode.SOUND
+    private val held = ArrayList<suspend () -> Unit>()
+
+    override suspend fun change(change: RowChange): Either<ChangeFailure, Long> {
+        store.isUnavailable = mode == StoreMode.UNAVAILABLE
+        store.losesNextResponse = mode == StoreMode.LOSING_RESPONSES
+        return when (mode) {
+            StoreMode.LATE -> ChangeFailure.Failed(NO_RESPONSE).left().also { held += { store.change(change) } }
+            StoreMode.SLOW -> answerLater(change)
+            else -> store.change(change)
+        }
+    }
+
+    private suspend fun answerLater(change: RowChange): Either<ChangeFailure, Long> {
+        val answer = CompletableDeferred<Either<ChangeFailure, Long>>()
+        held += { answer.complete(store.change(change)) }
+        return answer.await()
+    }
+
+    suspend fun applyHeld() {
+        store.isUnavailable = false
+        store.losesNextResponse = false
+        val changes = held.toList()
+        held.clear()
+        changes.forEach { it() }
+    }
+
+    private companion object {
+        private val NO_RESPONSE = StoreFailure.OutcomeUnknown("no response")
+    }
+}
+
+/**
+ * Gateways that serve turns of one program, with what callers have got.
+ *
+ * It counts what the rules on budgets and on lost programs count: turns that were answered whole with the tokens that they
+ * used, and all others that may have reached a target at their most.
+ */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class BudgetModel(
+    gatewayCount: Int,
+    private val budgetTokens: Long,
+) {
+    private val test = TestScope(UnconfinedTestDispatcher())
+    private val store = ModelStore(InMemoryRowStore())
+    private val storedTurns = HashMap<CallId, Long>()
+    private val gateways = MutableList(gatewayCount) { ModelGateway(it, incarnation = 1) }
+    private var turnCount = 0
+
+    /** Tokens that callers have got in turns that ended. */
+    private var handedTokens = 0L
+
+    /** What turns that ended count when it is asked whether the program has room. */
+    private var countedTokens = 0L
+
+    /** What was seen that breaks a rule, or null. */
+    var violation: String? = null
+        private set
+
+    private val runningTokens: Long
+        get() = gateways.sumOf { it.running.size } * MAX_TOKENS
+
+    suspend fun apply(event: BudgetEvent) {
+        when (event) {
+            is BudgetEvent.Begin -> gateways[event.gateway].ifActive { begin(event.isRetained) }
+            is BudgetEvent.End -> gateways[event.gateway].ifActive { end() }
+            is BudgetEvent.Break -> gateways[event.gateway].ifActive { breakOff() }
+            is BudgetEvent.Leave -> gateways[event.gateway].ifActive { waiting.removeLastOrNull()?.cancel() }
+            is BudgetEvent.Kill -> kill(event.gateway)
+            is BudgetEvent.Pause -> gateways[event.gateway].run { isPaused = !isPaused }
+            is BudgetEvent.Evict -> gateways[event.gateway].ifActive { evict() }
+            is BudgetEvent.Store -> store.mode = event.mode
+            is BudgetEvent.ApplyHeld -> store.applyHeld()
+        }
+        test.testScheduler.advanceTimeBy(STEP_MS)
+        test.testScheduler.runCurrent()
+        if (handedTokens + runningTokens > budgetTokens + MAX_TOKENS) {
+            report("$handedTokens tokens handed out and $runningTokens in progress, of a budget of $budgetTokens")
+        }
+    }
+
+    /** Checks that a program with room left is served once everything works again. */
+    suspend fun checkServed() {
+        store.mode = StoreMode.SOUND
+        gateways.forEach { it.isPaused = false }
+        apply(BudgetEvent.ApplyHeld)
+        if (budgetTokens - countedTokens - runningTokens < MAX_TOKENS) return
+        val runningBefore = runningTokens
+        repeat(TRIES) { apply(BudgetEvent.Begin(it % gateways.size, isRetained = true)) }
+        if (runningTokens == runningBefore) report("refused with $countedTokens tokens counted, of $budgetTokens")
+    }
+
+    private fun kill(index: Int) {
+        val killed = gateways[index]
+        killed.scope.cancel()
+        handedTokens += killed.running.size * MAX_TOKENS
+        countedTokens += killed.running.size * MAX_TOKENS
+        gateways[index] = ModelGateway(index, killed.incarnation + 1)
+    }
+
+    private fun report(what: String) {
+        violation = violation ?: what
+    }
+
+    private class RunningTurn(
+        val reservation: Reservation,
+        val id: CallId,
+        val isRetained: Boolean,
+    )
+
+    private inner class ModelGateway(
+        index: Int,
+        val incarnation: Int,
+    ) {
+        val scope: CoroutineScope = test.backgroundScope + Job()
+        val running = ArrayDeque<RunningTurn>()
+        val waiting = ArrayDeque<Job>()
+        var isPaused = false
+        val holder = BudgetHolder(GatewayId("g$index"), Incarnation("$incarnation"))
+        val allocator =
+            BudgetAllocator(
+                BudgetRows(store),
+                ModelPeers(this),
+                { turn, _ -> storedTurns[turn] },
+                holder,
+                scope,
+                maxPrograms = 1,
+            )
+
+        suspend fun ifActive(action: suspend ModelGateway.() -> Unit) {
+            if (!isPaused) action()
+        }
+
+        fun begin(isRetained: Boolean) {
+            val id = CallId("t${++turnCount}")
+            val caller =
+                scope.launch {
+                    val result = allocator.reserve(PROGRAM, budgetTokens, MAX_TOKENS, id)
+                    result.onRight { running += RunningTurn(it, id, isRetained) }
+                    val isExhausted = result.leftOrNull()?.code == RefusalCode.BUDGET_EXHAUSTED
+                    val hasRoom = budgetTokens - countedTokens - runningTokens >= MAX_TOKENS
+                    if (isExhausted && hasRoom) report("exhausted with $countedTokens tokens counted")
+                }
+            if (caller.isActive) waiting += caller
+        }
+
+        fun end() {
+            val turn = running.removeFirstOrNull() ?: return
+            // Differs from turn to turn, so that an exchange of two turns is seen.
+            val usedTokens = MAX_TOKENS / 2 + turnCount % 7
+            handedTokens += usedTokens
+            countedTokens += usedTokens
+            if (turn.isRetained) storedTurns[turn.id] = usedTokens
+            turn.reservation.complete(usedTokens, isStored = turn.isRetained)
+        }
+
+        fun breakOff() {
+            val turn = running.removeFirstOrNull() ?: return
+            handedTokens += MAX_TOKENS / 2
+            countedTokens += MAX_TOKENS
+            turn.reservation.complete(MAX_TOKENS / 2)
+        }
+
+        suspend fun evict() {
+            val other = scope.launch { allocator.reserve(ProgramId("other"), budgetTokens, MAX_TOKENS, CallId("o")) }
+            other.cancel()
+        }
+    }
+
+    private inner class ModelPeers(
+        private val own: ModelGateway,
+    ) : BudgetPeers {
+        override suspend fun settle(
+            program: ProgramId,
+            claims: List<BudgetClaim>,
+        ): Boolean {
+            val holders = claims.mapNotNull(::holderOf)
+            holders.filterNot { it.isPaused }.forEach { it.allocator.settle(program) }
+            return holders.none { it.isPaused }
+        }
+
+        override fun isRegistered(claim: BudgetClaim): Boolean = holderOf(claim) != null
+
+        private fun holderOf(claim: BudgetClaim): ModelGateway? =
+            gateways.firstOrNull {
+                it !== own && it.holder == claim.holder
+            }
+    }
+
+    companion object {
+        const val MAX_TOKENS = 100L
+        private val PROGRAM = ProgramId("p1")
+        private const val STEP_MS = 60L
+        private const val TRIES = 6
+    }
+}
