Claim ahead again for turns that are not stored

What callers saw: with the change before, programs on routes that do not keep turns waited for the store with each turn.

Cause: each turn wrote its claim first; a single unnamed turn at one gateway helps little, as turns of a program come to all gateways, and a store that is 50 times slower delays each write.

Change: only turns that are stored are named before they start. A write at a stop is made only for what neither the row nor a stored turn shows, 32 at a time.

A program whose turns are not stored may still lose up to three turns of its budget to failed gateways.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
@@ -50,10 +50,8 @@
             else -> refusal("Edge gateways do not support this request type.")
         }
 
-    private suspend fun settle(request: TrimBudget): LinkReply {
-        budgets.settle(request.program)
-        return Done
-    }
+    private suspend fun settle(request: TrimBudget): LinkReply =
+        if (budgets.settle(request.program)) Done else refusal("The claim could not be written.")
 
     private suspend fun read(request: ReadStore): StoreReply =
         store
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
@@ -6,14 +6,12 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.withLock
-import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.call.Execution
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.call.RefusalCode
@@ -21,8 +19,6 @@
 import org.chestnutloom.common.log.warnEvent
 import org.chestnutloom.edge.store.ChangeFailure
 import org.chestnutloom.edge.store.storeUnavailable
-import org.chestnutloom.id.CallId
-import org.chestnutloom.id.ClientAccountId
 import org.chestnutloom.id.ProgramId
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -31,12 +27,12 @@
 /**
  * Enforces token budgets of programs across gateways, restarts and store outages; confined to the event loop.
  *
- * The program's row in the store names each turn in progress with the most that it may spend, so that the failure of a
- * gateway leaves only the turns unknown that it had not ended. What such a turn spent is read from the stored turn, if it
+ * A turn that will be stored is named in the program's row, with the most that it may spend, before it starts. The failure
+ * of a gateway leaves only turns unknown that it had not ended: what a named turn spent is read from the stored turn, if it
  * was answered whole; otherwise it counts at its most.
  *
- * One gateway of the fleet holds the overdraft of a program: while the store is slow or unavailable, it may run a single
- * turn that the row does not name yet. All turns together therefore exceed the budget by at most one turn.
+ * Turns that are not stored are not named, as they must go on while the store is unavailable. A gateway claims tokens for a few of
+ * them ahead, which count as spent when it fails.
  *
  * A turn is refused as over budget only if the tokens that are known to be spent leave no room for it; otherwise its caller
  * may try again.
@@ -54,56 +50,41 @@
 ) {
     private val budgets = LinkedHashMap<ProgramId, ProgramBudget>(INITIAL_PROGRAMS, LOAD_FACTOR, true)
 
-    /** Reserves [maxTokens] of the total [budgetTokens] of [program] for [turn], or refuses the turn as not run. */
-    public suspend fun reserve(
-        program: ProgramId,
-        budgetTokens: Long,
-        maxTokens: Long,
-        turn: CallId,
-        account: ClientAccountId? = null,
-    ): Either<Refusal, Reservation> {
-        val budget = budgetOf(program)
-        val request = TurnTokens(program, budgetTokens, maxTokens, turn, account)
-        val reservation =
-            Reservation(turn, maxTokens) { ended, usedTokens, isStored ->
-                val isUnwritten = budget.isOnOverdraft(ended)
-                budget.end(ended, usedTokens)
-                if (isUnwritten || !isStored) writeSoon(program, budget)
-            }
+    /** Reserves the tokens of [request], or refuses the turn as not run. */
+    public suspend fun reserve(request: TurnTokens): Either<Refusal, Reservation> {
+        val budget = budgetOf(request.program)
+        val reservation = reservation(request, budget)
+        if (budget.covers(reservation)) {
+            budget.start(reservation)
+            return reservation.right()
+        }
         // Not cancelled when the caller leaves, so that the outcome of the write is known.
         val claim = scope.async { budget.claiming.withLock { claim(request, budget, reservation) } }
         try {
-            val failure = awaitClaim(claim, request, budget) ?: return reservation.right()
-            val canStart = failure.isStoreFailure && budget.allowsOverdraft(budgetTokens, maxTokens)
-            if (!canStart) return failure.refusal.left()
-            budget.startOnOverdraft(reservation)
-            return reservation.right()
+            return claim.await()?.left() ?: reservation.right()
         } catch (e: CancellationException) {
             reservation.complete(usedTokens = 0)
             throw e
         }
     }
 
-    /**
-     * Returns why [claim] failed, or null on success.
-     *
-     * While the turn could start on the overdraft, a claim that takes long counts as failed, but goes on.
-     */
-    private suspend fun awaitClaim(
-        claim: Deferred<ClaimFailure?>,
+    private fun reservation(
         request: TurnTokens,
         budget: ProgramBudget,
-    ): ClaimFailure? {
-        if (!budget.allowsOverdraft(request.budgetTokens, request.maxTokens)) return claim.await()
-        withTimeoutOrNull(MAX_CLAIM_WAIT) { claim.join() }
-        if (claim.isCompleted || !budget.allowsOverdraft(request.budgetTokens, request.maxTokens)) return claim.await()
-        return ClaimFailure(storeUnavailable("The store is slow."), isStoreFailure = true)
+    ) = Reservation(request.turn, request.maxTokens, request.isStored) { ended, usedTokens, isWhole ->
+        budget.end(ended, usedTokens)
+        val isUnstarted = ended.startsProgram && usedTokens == 0L
+        if (if (ended.isStored) !isWhole else isUnstarted) writeSoon(request.program, budget)
     }
 
-    /** Records what is spent of the budget of [program], and that its turns which have ended need no more. */
-    public suspend fun settle(program: ProgramId) {
-        val budget = budgets[program] ?: return
-        settle(program, budget)
+    /**
+     * Records what is spent of the budget of [program], and that its turns which have ended need no more.
+     *
+     * Returns whether the store has acknowledged it.
+     */
+    public suspend fun settle(program: ProgramId): Boolean {
+        val budget = budgets[program] ?: return true
+        return settle(program, budget)
     }
 
     /** Returns whether the row contains the current claim. */
@@ -114,7 +95,7 @@
         budget.claiming.withLock {
             repeat(MAX_ATTEMPTS) {
                 if (!budget.isOutdated) return true
-                val failure = write(program, budget, starting = null)
+                val failure = write(program, budget, budget.currentClaim())
                 if (failure is ChangeFailure.Failed) {
                     logger.warnEvent("budget_settle_failed", "program" to program, "cause" to failure.cause)
                     return false
@@ -158,47 +139,43 @@
     }
 
     private fun budgetOf(program: ProgramId): ProgramBudget {
-        val budget = budgets.getOrPut(program) { ProgramBudget(self) }
+        val budget = budgets.getOrPut(program) { ProgramBudget(self, generation = 0) }
         if (budgets.size > maxPrograms) evictOldestIdle(except = budget)
         return budget
     }
 
-    /** Forgets the budget that was not used for the longest time, unless the store does not know all of its turns. */
     private fun evictOldestIdle(except: ProgramBudget) {
-        val oldest = budgets.values.iterator()
-        while (oldest.hasNext()) {
-            val budget = oldest.next()
-            if (budget === except || budget.isBusy || budget.hasUnwrittenTurn) continue
-            oldest.remove()
-            return
-        }
+        val oldest = budgets.entries.firstOrNull { it.value !== except && !it.value.isBusy && !it.value.isSettling }
+        if (oldest != null) budgets -= oldest.key
     }
 
+    /** Claims the tokens of [reservation] and starts it, and returns the refusal, or null on success. */
     private suspend fun claim(
         request: TurnTokens,
         budget: ProgramBudget,
         reservation: Reservation,
-    ): ClaimFailure? {
+    ): Refusal? {
         var arePeersSettled: Boolean? = null
         repeat(MAX_ATTEMPTS) {
-            // The turn has started on the overdraft meanwhile, or its caller has left.
-            if (reservation.isStarted || reservation.isCompleted) return null
+            if (reservation.isCompleted) return null
+            if (budget.covers(reservation)) return null.also { budget.start(reservation) }
             val isShort = request.maxTokens > budget.freeTokens(request.budgetTokens)
-            if (isShort && arePeersSettled == true) return ClaimFailure(noneLeft(request, budget))
-            if (isShort && arePeersSettled == false) return ClaimFailure(contended())
+            if (isShort && arePeersSettled == true) return noneLeft(request, budget)
+            if (isShort && arePeersSettled == false) return contended()
             val failure =
                 if (isShort) {
                     arePeersSettled = peers.settle(request.program, budget.otherClaims)
                     readSettled(request, budget)
                 } else {
-                    write(request.program, budget, reservation)
+                    write(request.program, budget, budget.currentClaim(reservation, aheadTokens(request, budget)))
                 }
             if (failure is ChangeFailure.Failed) {
-                return ClaimFailure(claimFailed(request.program, failure), isStoreFailure = true)
+                if (!isShort) writeSoon(request.program, budget)
+                return claimFailed(request.program, failure)
             }
             if (failure == null && !isShort) return null.also { start(request.program, budget, reservation) }
         }
-        return ClaimFailure(contended())
+        return contended()
     }
 
     /** Starts [reservation], which has been claimed, unless its caller has left meanwhile. */
@@ -210,6 +187,17 @@
         if (reservation.isCompleted) writeSoon(program, budget) else budget.start(reservation)
     }
 
+    /** Returns by how much a claim exceeds the current need. */
+    private fun aheadTokens(
+        request: TurnTokens,
+        budget: ProgramBudget,
+    ): Long {
+        if (request.isStored) return 0
+        val turns = (MAX_TURNS_AHEAD - budget.unsettledClaimCount).coerceAtLeast(0)
+        val freeTokens = budget.freeTokens(request.budgetTokens) - request.maxTokens
+        return minOf(turns * request.maxTokens, request.budgetTokens / PREALLOCATION_DIVISOR, freeTokens)
+    }
+
     /** Reads the row and what the turns of other gateways in it have spent; returns the failure, or null on success. */
     private suspend fun readSettled(
         request: TurnTokens,
@@ -222,26 +210,14 @@
         return null
     }
 
-    /**
-     * Writes the claim, which includes [starting] if it is given, and returns the failure, or null on success.
-     *
-     * After a conflict the current row has been applied. If the outcome is unknown, the claim is written again later.
-     */
+    /** Writes [claim], and returns the failure, or null on success. After a conflict the current row has been applied. */
     private suspend fun write(
         program: ProgramId,
         budget: ProgramBudget,
-        starting: Reservation?,
+        claim: BudgetClaim,
     ): ChangeFailure? {
-        var failure: ChangeFailure? = null
-        var isAnswered = false
-        try {
-            failure = rows.write(program, budget, starting)
-            isAnswered = failure !is ChangeFailure.Failed
-        } finally {
-            if (!isAnswered) budget.isWriteUncertain = true
-            if (!isAnswered && starting != null) writeSoon(program, budget)
-        }
-        return failure
+        budget.isWriteUncertain = true
+        return rows.write(program, budget, claim)
     }
 
     /** Refuses a turn for which the claims of gateways leave no room. */
@@ -283,16 +259,6 @@
             CONTENDED_RETRY_MS,
         )
 
-    /**
-     * Why the tokens of a turn could not be claimed.
-     *
-     * @property isStoreFailure whether the store did not acknowledge the claim, so that the overdraft may serve
-     */
-    private class ClaimFailure(
-        val refusal: Refusal,
-        val isStoreFailure: Boolean = false,
-    )
-
     private companion object {
         private const val INITIAL_PROGRAMS = 64
         private const val LOAD_FACTOR = 0.75f
@@ -302,11 +268,14 @@
         /** Another gateway writes its claim within this time. */
         private const val CONTENDED_RETRY_MS = 500L
 
-        /** Well above the normal latency of the store, and short for a caller who waits for a model's first token. */
-        private val MAX_CLAIM_WAIT = 25.milliseconds
+        /** A claim exceeds the current need, which the caller states, by at most the budget divided by this number. */
+        private const val PREALLOCATION_DIVISOR = 3L
+
+        /** A claim exceeds the current need by at most this number of turns, which a store outage does not stop. */
+        private const val MAX_TURNS_AHEAD = 2
 
         private const val CONCURRENT_SETTLEMENTS = 32
-        private const val SETTLE_TRIES = 10
+        private const val SETTLE_TRIES = 5
         private val SETTLE_RETRY_DELAY = 1_000.milliseconds
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetClaim.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetClaim.kt
@@ -10,8 +10,8 @@
  *
  * @property tokens tokens that the gateway has already spent plus those that it may still spend
  * @property spentTokens tokens that the gateway is known to have spent; rows of earlier builds do not record them
- * @property pending the turns in progress when the claim was written, which account for the rest of [tokens]; claims of
- *   earlier builds name none and may exceed what turns need
+ * @property pending the turns in progress when the claim was written whose spending can be read once they are stored
+ * @property generation differs between claims that the incarnation made before and after it evicted the program from memory
  */
 @Serializable
 public data class BudgetClaim(
@@ -20,11 +20,22 @@
     public val tokens: Long,
     public val spentTokens: Long = 0,
     public val pending: List<PendingTurn> = emptyList(),
+    public val generation: Long = 0,
 ) {
     /** The incarnation that holds the claim. */
     internal val holder: BudgetHolder
         get() = BudgetHolder(gateway, incarnation)
 
+    /** The tokens of which only the holder knows whether they are spent. */
+    internal val aheadTokens: Long
+        get() = tokens - spentTokens - pending.sumOf { it.tokens }
+
+    /** Returns whether this is the claim of [holder] in [generation]. */
+    internal fun isOf(
+        holder: BudgetHolder,
+        generation: Long,
+    ): Boolean = this.holder == holder && this.generation == generation
+
     /** Returns this claim with the tokens that turns in [spentByTurn] spent, in place of the most that they may spend. */
     internal fun settled(spentByTurn: Map<CallId, Long>): BudgetClaim {
         val (ended, others) = pending.partition { it.turn in spentByTurn }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetRows.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetRows.kt
@@ -28,17 +28,16 @@
     }
 
     /**
-     * Writes the claim of this gateway, which includes [starting] if it is given, unless the row has changed since it was
-     * applied to [budget]. Returns the failure, or null on success. After a conflict the current row has been applied.
+     * Writes [claim] of this gateway, unless the row has changed since it was applied to [budget]. Returns the failure, or null
+     * on success. After a conflict the current row has been applied.
      */
     internal suspend fun write(
         program: ProgramId,
         budget: ProgramBudget,
-        starting: Reservation?,
+        claim: BudgetClaim,
     ): ChangeFailure? {
         val key = keyOf(program)
-        val claim = budget.currentClaim(starting)
-        val unwritten = budget.unwrittenTurns(starting)
+        val spentUnstoredTokens = budget.beginWrite(claim)
         val change =
             RowChange(
                 conditions = listOf(RowCondition(key, budget.rowVersion)),
@@ -49,7 +48,7 @@
                 if (failure !is ChangeFailure.Conflict) return failure
                 return apply(program, budget, failure.current) ?: failure
             }
-        budget.acknowledge(claim, unwritten, version)
+        budget.acknowledge(claim, spentUnstoredTokens, version)
         return null
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/ProgramBudget.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/ProgramBudget.kt
@@ -3,14 +3,19 @@
 import kotlinx.coroutines.sync.Mutex
 import org.chestnutloom.id.CallId
 
-/** This gateway's view of the budget of one program; confined to the event loop. */
+/**
+ * This gateway's view of the budget of one program; confined to the event loop.
+ *
+ * @param generation differs from that of each earlier view of this incarnation, whose claim is that of another holder
+ */
 internal class ProgramBudget(
     private val self: BudgetHolder,
+    private val generation: Long,
 ) {
     /** Held while the claim in the store is being changed. */
     val claiming = Mutex()
 
-    /** The claims of other gateway incarnations, as last read. */
+    /** The claims of other gateway incarnations, and of evicted views of this one, as last read. */
     var otherClaims: List<BudgetClaim> = emptyList()
         private set
 
@@ -18,10 +23,6 @@
     var rowVersion = 0L
         private set
 
-    /** Who may run a turn that no claim names, as last read or written. */
-    var overdraftHolder: BudgetHolder? = null
-        private set
-
     /** The claim of this gateway that the store has acknowledged last, or null if there is none. */
     private var writtenClaim: BudgetClaim? = null
 
@@ -34,66 +35,65 @@
     /** The turns in progress. */
     private val running = LinkedHashSet<Reservation>()
 
-    /** The turn that runs or ran on the overdraft and that no acknowledged claim contains, or null if there is none. */
-    private var overdraftTurn: Reservation? = null
-
-    /** The tokens spent by completed turns on this gateway, including [assumedTokens]. */
+    /** The tokens spent by completed turns on this gateway. */
     private var spentTokens = 0L
 
-    /** The tokens that count as spent on this gateway because it no longer knows whether they are. */
-    private var assumedTokens = 0L
+    /** The part of [spentTokens] that turns spent which are not stored. */
+    private var unstoredTokens = 0L
 
-    /** Whether this gateway has sent a claim to the store, whatever the outcome. */
-    private var hasClaimed = false
+    /** The part of [unstoredTokens] that [writtenClaim] contains as spent. */
+    private var writtenUnstoredTokens = 0L
+
+    /** What turns that are not stored may spend in total, including what they have spent. */
+    private var unstoredLimit = 0L
 
     /** What turns of other gateways have spent that ended after their claims were written. */
     private val spentByTurn = HashMap<CallId, Long>()
 
+    private val runningUnstoredTokens: Long
+        get() = running.filterNot { it.isStored }.sumOf { it.maxTokens }
+
     private val usedTokens: Long
         get() = spentTokens + running.sumOf { it.maxTokens }
 
     /** The tokens that the claims of other gateway incarnations leave of [budgetTokens] for further turns here. */
     fun freeTokens(budgetTokens: Long): Long = budgetTokens - otherClaims.sumOf { it.tokens } - usedTokens
 
+    /** The number of other holders whose claims exceed what they have spent and what their turns in progress need. */
+    val unsettledClaimCount: Int
+        get() = otherClaims.count { it.aheadTokens > 0 }
+
     /** Whether turns are in progress or being admitted. */
     val isBusy: Boolean
         get() = running.isNotEmpty() || claiming.isLocked
 
-    /** Whether this gateway has run a turn that the store does not know of, so that it must not be forgotten. */
-    val hasUnwrittenTurn: Boolean
-        get() = overdraftTurn != null
-
     /** Whether this gateway knows what the row does not tell and what no stored turn shows. */
     val needsWrite: Boolean
-        get() = isSettling || isWriteUncertain || hasUnwrittenTurn
+        get() =
+            isSettling ||
+                isWriteUncertain ||
+                unstoredTokens > writtenUnstoredTokens ||
+                unstoredLimit > unstoredTokens + runningUnstoredTokens
 
-    /** Whether the row does not contain the current claim of this gateway. */
+    /** Whether the row does not contain the current claim of this gateway, without tokens that no turn needs. */
     val isOutdated: Boolean
-        get() = isWriteUncertain || (hasClaimed && currentClaim() != writtenClaim)
+        get() = isWriteUncertain || (writtenClaim != null && currentClaim() != writtenClaim)
 
     /** Whether nothing has been spent or reserved here and no other gateway held a claim when the row was last read. */
     val isUnused: Boolean
         get() = usedTokens == 0L && otherClaims.all { it.tokens == 0L }
 
-    /** Whether a turn of up to [maxTokens] can start before a claim on its tokens is written. */
-    fun allowsOverdraft(
-        budgetTokens: Long,
-        maxTokens: Long,
-    ): Boolean = overdraftHolder == self && overdraftTurn == null && maxTokens <= freeTokens(budgetTokens)
+    /** Whether the tokens of [reservation] are claimed already. */
+    fun covers(reservation: Reservation): Boolean =
+        !reservation.isStored &&
+            unstoredTokens + runningUnstoredTokens + reservation.maxTokens <= unstoredLimit
 
     /** Starts [reservation], whose tokens have been claimed. */
     fun start(reservation: Reservation) {
         reservation.startsProgram = isUnused
-        reservation.isStarted = true
         running += reservation
     }
 
-    /** Starts [reservation] before a claim on its tokens is written. */
-    fun startOnOverdraft(reservation: Reservation) {
-        start(reservation)
-        overdraftTurn = reservation
-    }
-
     /** Ends [reservation], of which [tokens] were spent. */
     fun end(
         reservation: Reservation,
@@ -101,39 +101,50 @@
     ) {
         if (!running.remove(reservation)) return
         spentTokens += tokens
-        if (tokens == 0L && isOnOverdraft(reservation)) overdraftTurn = null
+        if (!reservation.isStored) unstoredTokens += tokens
     }
 
-    /** Returns whether [reservation] runs or ran on the overdraft and no claim contains it. */
-    fun isOnOverdraft(reservation: Reservation): Boolean = overdraftTurn === reservation
-
-    /** Returns the claim that covers all turns so far, and [starting] if it is given. */
-    fun currentClaim(starting: Reservation? = null): BudgetClaim {
-        val pending = (running + setOfNotNull(starting)).map { PendingTurn(it.turn, it.maxTokens) }
-        val tokens = spentTokens + pending.sumOf { it.tokens }
-        return BudgetClaim(self.gateway, self.incarnation, tokens, spentTokens - assumedTokens, pending)
+    /**
+     * Returns the claim that covers all turns so far, [starting] if it is given, and [aheadTokens] for further turns that
+     * are not stored.
+     */
+    fun currentClaim(
+        starting: Reservation? = null,
+        aheadTokens: Long = 0,
+    ): BudgetClaim {
+        val (stored, unstored) = (running + listOfNotNull(starting)).partition { it.isStored }
+        val pending = stored.map { PendingTurn(it.turn, it.maxTokens) }
+        val tokens = spentTokens + pending.sumOf { it.tokens } + unstored.sumOf { it.maxTokens } + aheadTokens
+        return BudgetClaim(self.gateway, self.incarnation, tokens, spentTokens, pending, generation)
     }
 
-    /** Returns the row with [claim] of this gateway, which takes the overdraft if nobody has it. */
-    fun rowWith(claim: BudgetClaim): BudgetRow {
-        hasClaimed = true
-        return BudgetRow(otherClaims + claim, overdraftHolder ?: self)
-    }
+    /** Returns the row with [claim] of this gateway. */
+    fun rowWith(claim: BudgetClaim): BudgetRow = BudgetRow(otherClaims + claim)
 
-    /** Returns the turns whose tokens a claim contains that is written now, so far as the store does not know them. */
-    fun unwrittenTurns(starting: Reservation?): Set<Reservation> = setOfNotNull(overdraftTurn, starting)
+    /**
+     * Prepares for a write of [claim], which may lower the present one, so that no turn starts on tokens that are being
+     * released. Returns what [acknowledge] has to be called with.
+     */
+    fun beginWrite(claim: BudgetClaim): Long {
+        unstoredLimit = minOf(unstoredLimit, unstoredTokens + claim.aheadTokens)
+        return unstoredTokens
+    }
 
-    /** Applies that the store has acknowledged [claim], which contains the [unwritten] turns, in a row with [version]. */
+    /**
+     * Applies that the store has acknowledged [claim] in a row with [version].
+     *
+     * @param spentUnstoredTokens what [beginWrite] returned
+     */
     fun acknowledge(
         claim: BudgetClaim,
-        unwritten: Set<Reservation>,
+        spentUnstoredTokens: Long,
         version: Long,
     ) {
         writtenClaim = claim
+        writtenUnstoredTokens = spentUnstoredTokens
+        unstoredLimit = spentUnstoredTokens + claim.aheadTokens
         isWriteUncertain = false
-        overdraftHolder = overdraftHolder ?: self
         rowVersion = version
-        if (overdraftTurn in unwritten) overdraftTurn = null
     }
 
     /** Applies [row], read at [version], or null if there is none. */
@@ -141,20 +152,20 @@
         row: BudgetRow?,
         version: Long,
     ) {
-        val (own, others) = row?.claims.orEmpty().partition { it.holder == self }
-        otherClaims = others.map { it.settled(spentByTurn) }
-        overdraftHolder = row?.overdraftHolder
+        val (own, others) = row?.claims.orEmpty().partition { it.isOf(self, generation) }
+        writtenClaim = own.firstOrNull()
+        // A write that has not been answered has the version of the row as its condition.
+        if (version != rowVersion) isWriteUncertain = false
+        otherClaims = joinEvicted(others.map { it.settled(spentByTurn) })
         rowVersion = version
-        own.forEach(::applyOwnClaim)
     }
 
-    private fun applyOwnClaim(claim: BudgetClaim) {
-        if (!hasClaimed) {
-            // The claim predates the eviction of the program from memory. Its unspent part is unknown and counts as spent.
-            spentTokens += claim.tokens
-            assumedTokens += claim.tokens - claim.spentTokens
-        }
-        hasClaimed = true
+    /** Joins the settled claims of evicted views of this incarnation, so that the row does not grow with evictions. */
+    private fun joinEvicted(claims: List<BudgetClaim>): List<BudgetClaim> {
+        val (evicted, others) = claims.partition { it.holder == self && it.pending.isEmpty() }
+        if (evicted.size < 2) return claims
+        return others +
+            evicted.first().copy(tokens = evicted.sumOf { it.tokens }, spentTokens = evicted.sumOf { it.spentTokens })
     }
 
     /** Applies that turns of other gateways have ended and what they spent. */
@@ -173,7 +184,7 @@
         maxTokens: Long,
         isRegistered: (BudgetClaim) -> Boolean,
     ): Boolean {
-        val ownTokens = usedTokens - assumedTokens + maxTokens
+        val ownTokens = usedTokens + maxTokens
         val otherTokens = otherClaims.sumOf { if (isRegistered(it)) it.tokens else it.spentTokens }
         return ownTokens + otherTokens > budgetTokens
     }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/Reservation.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/Reservation.kt
@@ -7,33 +7,32 @@
  *
  * @param turn the call id of the turn
  * @param maxTokens the maximum number of tokens that the turn generates
+ * @param isStored whether the turn is stored before its response ends, so that others can read what it spent
  * @property startsProgram whether this is the first turn of the program, according to its row as last read
  */
 public class Reservation internal constructor(
     internal val turn: CallId,
     internal val maxTokens: Long,
-    private val onCompleted: (reservation: Reservation, usedTokens: Long, isStored: Boolean) -> Unit,
+    internal val isStored: Boolean,
+    private val onCompleted: (reservation: Reservation, usedTokens: Long, isWhole: Boolean) -> Unit,
 ) {
     public var startsProgram: Boolean = false
         internal set
 
-    /** Whether the turn may run. */
-    internal var isStarted = false
-
     internal var isCompleted = false
         private set
 
     /**
      * Ends the reservation, and records the [usedTokens] that the turn generated.
      *
-     * @param isStored whether the turn is stored with this number before its response ends
+     * @param isWhole whether the response was whole, so that the turn is stored on routes that retain turns
      */
     public fun complete(
         usedTokens: Long,
-        isStored: Boolean = false,
+        isWhole: Boolean = false,
     ) {
         if (isCompleted) return
         isCompleted = true
-        onCompleted(this, usedTokens, isStored)
+        onCompleted(this, usedTokens, isWhole)
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/TurnTokens.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/TurnTokens.kt
@@ -9,11 +9,13 @@
  *
  * @property budgetTokens the total budget of the program
  * @property maxTokens the maximum number of tokens that the turn generates
+ * @property isStored whether the turn is stored before its response ends
  */
-internal class TurnTokens(
-    val program: ProgramId,
-    val budgetTokens: Long,
-    val maxTokens: Long,
-    val turn: CallId,
-    val account: ClientAccountId?,
+public class TurnTokens(
+    public val program: ProgramId,
+    public val account: ClientAccountId?,
+    public val turn: CallId,
+    public val budgetTokens: Long,
+    public val maxTokens: Long,
+    public val isStored: Boolean,
 )
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
@@ -7,6 +7,7 @@
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.edge.budget.BudgetAllocator
 import org.chestnutloom.edge.budget.Reservation
+import org.chestnutloom.edge.budget.TurnTokens
 import org.chestnutloom.edge.config.AccountSettings
 import org.chestnutloom.edge.config.Destination
 import org.chestnutloom.edge.config.EdgeConfiguration
@@ -100,7 +101,9 @@
         val program = head.program ?: return null
         val budgetTokens = head.tokenBudget ?: return null
         if (!StoreLimits.allowsName(program.value)) raise(badRequest("The program's id is too long."))
-        return budgets.reserve(program, budgetTokens, head.maxOutputTokens, id, account?.id).bind()
+        return budgets
+            .reserve(TurnTokens(program, account?.id, id, budgetTokens, head.maxOutputTokens, route.isRetained))
+            .bind()
     }
 
     private fun badRequest(detail: String): Refusal = Refusal(RefusalCode.BAD_REQUEST, Execution.NOT_RUN, detail)
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
@@ -218,7 +218,7 @@
         val reservation = call.reservation ?: return
         // The caller may have counted the partial event at which the stream was aborted.
         val countedEvents = if (isComplete) events.eventCount else events.eventCount + 1
-        reservation.complete(tokensOf(call, countedEvents), isStored = isComplete && call.chain != null)
+        reservation.complete(tokensOf(call, countedEvents), isWhole = isComplete)
     }
 
     private fun tokensOf(
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetBudgetPeers.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetBudgetPeers.kt
@@ -6,6 +6,7 @@
 import org.chestnutloom.edge.budget.BudgetClaim
 import org.chestnutloom.edge.budget.BudgetPeers
 import org.chestnutloom.id.ProgramId
+import org.chestnutloom.wire.message.Done
 import org.chestnutloom.wire.message.TrimBudget
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -28,7 +29,9 @@
     private suspend fun requestSettlement(
         holder: Peer,
         program: ProgramId,
-    ): Boolean = !holder.isUnresponsive && links.request(holder.member, TrimBudget(program), SETTLE_TIMEOUT).isRight()
+    ): Boolean =
+        !holder.isUnresponsive &&
+            links.request(holder.member, TrimBudget(program), SETTLE_TIMEOUT).getOrNull() == Done
 
     private fun isHeldBy(
         claim: BudgetClaim,
