Keep what a gateway has spent of a budget that it evicts

Cause: the gateway noted that it had claimed before its first write met the row, and took the claim in the row, which it had spent before the eviction, for the one just written.

Evidence: "keeps what it had spent", "can use the rest of its budget" and the walks of BudgetModelSpec with evictions failed on the code before, two of the latter with tokens handed out beyond the budget or a 402 with room left.

Change: a budget that returns to memory is another holder, told by the claim's generation, and what only the gateway knows is written before it is forgotten.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
@@ -48,6 +48,9 @@
     private val scope: CoroutineScope,
     private val maxPrograms: Int = MAX_PROGRAMS,
 ) {
+    /** The number of budgets that were ever created. */
+    private var generations = 0L
+
     private val budgets = LinkedHashMap<ProgramId, ProgramBudget>(INITIAL_PROGRAMS, LOAD_FACTOR, true)
 
     /** Reserves the tokens of [request], or refuses the turn as not run. */
@@ -139,14 +142,26 @@
     }
 
     private fun budgetOf(program: ProgramId): ProgramBudget {
-        val budget = budgets.getOrPut(program) { ProgramBudget(self, generation = 0) }
+        val budget = budgets.getOrPut(program) { ProgramBudget(self, ++generations) }
         if (budgets.size > maxPrograms) evictOldestIdle(except = budget)
         return budget
     }
 
+    /** Forgets the budget that was not used for the longest time, once the store has what only this gateway knows of it. */
     private fun evictOldestIdle(except: ProgramBudget) {
-        val oldest = budgets.entries.firstOrNull { it.value !== except && !it.value.isBusy && !it.value.isSettling }
-        if (oldest != null) budgets -= oldest.key
+        val oldest =
+            budgets.entries.firstOrNull { it.value !== except && !it.value.isBusy && !it.value.isSettling } ?: return
+        val (program, budget) = oldest.key to oldest.value
+        if (!budget.needsWrite) {
+            budgets -= program
+            return
+        }
+        budget.isSettling = true
+        scope.launch {
+            val isSettled = settle(program, budget)
+            budget.isSettling = false
+            if (isSettled && !budget.isBusy) budgets -= program
+        }
     }
 
     /** Claims the tokens of [reservation] and starts it, and returns the refusal, or null on success. */
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetAllocatorSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetAllocatorSpec.kt
@@ -146,6 +146,23 @@
             }
         }
 
+        describe("a program that its gateway has evicted from memory") {
+            // Guards against a budget that is spent twice (review/7).
+            it("keeps what it had spent") {
+                val allocator = gateways.start("a", maxPrograms = 1)
+                (1..20).count { allocator.runTurn(MAX_TOKENS) } shouldBe 8
+                allocator.reserveTurn(program = ProgramId("other")).getOrNull()?.complete(0)
+                allocator.reserveTurn().leftOrNull()?.code shouldBe RefusalCode.BUDGET_EXHAUSTED
+            }
+
+            it("can use the rest of its budget") {
+                val allocator = gateways.start("a", maxPrograms = 1)
+                (1..5).count { allocator.runStoredTurn(MAX_TOKENS / 2) } shouldBe 5
+                repeat(3) { allocator.reserveTurn(program = ProgramId("q$it")) }
+                (1..20).count { allocator.runStoredTurn(MAX_TOKENS / 2) } shouldBe 10
+            }
+        }
+
         describe("a program whose row cannot be decoded") {
             // Guards against claims that are taken for missing, so that their tokens are spent twice.
             it("is refused as not run, and the row is left as it is") {
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetModelSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetModelSpec.kt
@@ -12,6 +12,7 @@
         BudgetEvent.Break(gateway),
         BudgetEvent.Kill(gateway),
         BudgetEvent.Pause(gateway),
+        BudgetEvent.Evict(gateway),
     )
 
 private val STORE_EVENTS = StoreMode.entries.map { BudgetEvent.Store(it) } + BudgetEvent.ApplyHeld
