Break off answers whose connection is reset behind its end

Cause: a process that closes a socket with bytes unread may end its own side first, and the reset follows. The gateway closed the connection at the first end and asked only whether the target was alive.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.common.log.warnEvent
 import org.chestnutloom.edge.http.HttpConnection
+import org.chestnutloom.edge.http.ResponseFraming
 import org.chestnutloom.edge.http.ResponsePart
 import org.chestnutloom.edge.target.Target
 import org.chestnutloom.edge.turn.EventStreamParser
@@ -38,7 +39,7 @@
             withTimeoutOrNull(call.deadline - clock.elapsed()) { collect(parts, MAX_BUFFERED_BYTES) }
                 ?: return timedOutResponse()
         return when (collected) {
-            is CollectedBody.Complete -> respondIfComplete(call, target, head, collected)
+            is CollectedBody.Complete -> respondIfComplete(call, target, connection, head, collected)
             is CollectedBody.TooLarge -> relayRest(call, target, connection, head, collected, parts)
             is CollectedBody.Aborted -> lostResponse(collected.cause)
         }
@@ -65,6 +66,7 @@
     private suspend fun respondIfComplete(
         call: RoutedCall,
         target: Target,
+        connection: HttpConnection,
         head: ResponseHead,
         collected: CollectedBody.Complete,
     ): ReadResult {
@@ -72,7 +74,7 @@
         content.read(collected.body)
         val end =
             withTimeoutOrNull(call.deadline - clock.elapsed()) {
-                checkEnd(call, target, collected.end, content)
+                checkEnd(call, target, connection, collected.end, content)
             } ?: return timedOutResponse()
         if (end is BodyEnd.Broken) return lostResponse(end.cause)
         call.bodyEnd = end
@@ -159,7 +161,7 @@
                     call.exchange.send(part.bytes)
                     applyBackpressure(call, connection)
                 }
-                is ResponsePart.End -> return checkEnd(call, target, part, content)
+                is ResponsePart.End -> return checkEnd(call, target, connection, part, content)
                 is ResponsePart.Aborted -> return BodyEnd.Broken(part.cause)
                 is ResponsePart.Head -> return BodyEnd.Broken("unexpected second response head")
             }
@@ -170,12 +172,15 @@
     private suspend fun checkEnd(
         call: RoutedCall,
         target: Target,
+        connection: HttpConnection,
         end: ResponsePart.End,
         content: BodyContent,
     ): BodyEnd {
         val evidence = BodyEvidence(end.framing, content.end, end.lastBytesAt)
         call.bodyEvidence = evidence
-        return check.check(target, evidence)
+        val bodyEnd = check.check(target, evidence)
+        val isReset = evidence.framing == ResponseFraming.CONNECTION && connection.isReset
+        return if (isReset) BodyEnd.Broken("connection was reset behind its end") else bodyEnd
     }
 
     /** Removes the length of a stream, which would look complete with its last byte, before its end is checked. */
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
@@ -34,6 +35,9 @@
     private var exchange: Exchange? = null
     private var failure: String? = null
 
+    /** The framing of the last response that ended, or null if none has. */
+    private var lastFraming: ResponseFraming? = null
+
     /** Whether nothing has ruled out another request, such as a failure or a response that closes the connection. */
     private var isUsable = true
 
@@ -88,6 +92,10 @@
         return started.parts
     }
 
+    /** Whether the server has reset the connection, also behind the end of a response that ends with it. */
+    internal val isReset: Boolean
+        get() = (context?.channel() as? ResetAwareSocketChannel)?.isReset == true
+
     /** Pauses or resumes reading from the server, for backpressure. */
     internal fun setReading(isEnabled: Boolean) {
         if (isEnabled) lastBytesAt = clock.elapsed()
@@ -179,7 +187,10 @@
     private fun readEnd(active: Exchange) {
         if (active.isSkipping) return
         if (failure != null) return
+        // A server that closes a connection with bytes unread resets it, even if the end of its own bytes arrives first.
+        if (!active.isDelimited && !isRequestSent) return failAndClose("connection ended before the request was sent")
         exchange = null
+        lastFraming = active.framing
         idleSince = clock.elapsed()
         completedExchanges++
         active.parts.trySend(ResponsePart.End(active.framing, lastBytesAt))
@@ -199,6 +210,16 @@
         failAndClose(cause.message ?: cause.javaClass.simpleName)
     }
 
+    /** The connection stays open behind a response that ends with it, until the exchange is released. */
+    override fun userEventTriggered(
+        ctx: ChannelHandlerContext,
+        event: Any,
+    ) {
+        if (event !is ChannelInputShutdownEvent) return super.userEventTriggered(ctx, event)
+        val hasEndedResponse = exchange == null && lastFraming == ResponseFraming.CONNECTION && failure == null
+        if (!hasEndedResponse) failAndClose("server closed the connection")
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         fail("server closed the connection")
     }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnector.kt
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
-import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import jdk.net.ExtendedSocketOptions
 import kotlinx.collections.immutable.ImmutableSet
@@ -38,7 +37,9 @@
     private val bootstrap =
         Bootstrap()
             .group(loop.group)
-            .channel(NioSocketChannel::class.java)
+            .channelFactory(::ResetAwareSocketChannel)
+            // A connection whose other side has ended stays open until it is known whether a reset follows.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
--- /dev/null
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EarlyAnswerSpec.kt
@@ -0,0 +1,66 @@
+package org.chestnutloom.integration.edge
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.IsolationMode
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+
+private const val HALF = "half of it"
+private const val UPLOAD_BYTES = 900_000
+
+/** Fits into the buffers of a socket, so that it is sent as far as its sender can tell. */
+private const val SMALL_UPLOAD_BYTES = 30_000
+
+private fun half(
+    callId: String,
+    contentType: String,
+): String =
+    "HTTP/1.1 200 OK\r\nChestnutloom-Attempt-Id: $callId\r\nChestnutloom-Server-Signature: sig\r\n" +
+        "Content-Type: $contentType\r\nConnection: close\r\n\r\n" +
+        if (contentType == "text/plain") HALF else "id: 1\ndata: $HALF\n\n"
+
+/** Whether the caller can take [response] for a whole success. */
+private fun looksComplete(response: RawResponse): Boolean {
+    if (response.status != 200 || response.isReset) return false
+    val length = response.header("Content-Length")?.toInt() ?: return response.hasLastChunk
+    return response.body.length == length
+}
+
+class EarlyAnswerSpec :
+    DescribeSpec({
+        isolationMode = IsolationMode.InstancePerLeaf
+        val fleet = EdgeFleet()
+
+        beforeEach {
+            fleet.start()
+            val routes =
+                listOf("streaming", "idempotent", "non_idempotent")
+                    .joinToString("") { "," + fleet.route(it, it, EdgeFleet.PLAIN, maxAttempts = 1) }
+            fleet.configure(version = 1, extraRoutes = routes)
+        }
+        afterEach { fleet.stop() }
+
+        describe("an answer without a length whose connection ends while its upload is still being sent") {
+            // Guards against half of an answer that reaches its caller as the whole one (issue 47, MIXED).
+            EarlyEnd.entries.flatMap { listOf(it to UPLOAD_BYTES, it to SMALL_UPLOAD_BYTES) }.forEach { (end, uploadBytes) ->
+                it("is not told as whole if the target ends with $end and the upload has $uploadBytes bytes") {
+                    val caller = RawCaller(fleet.gateway("g1"))
+                    for (contentType in listOf("text/plain", "text/event-stream")) {
+                        for (pauseMs in listOf(0L, 30L, 120L)) {
+                            val answer = { id: String -> half(id, contentType) }
+                            EarlyAnswerTarget(readBytes = 1_000, answer, end, pauseMs).use { target ->
+                                fleet.putTarget("s-1", EdgeFleet.PLAIN, target.port)
+                                eventually { caller.send("POST", "/idempotent/1", body = "x").status != 503 }
+                                for (route in listOf("streaming", "idempotent", "non_idempotent")) {
+                                    val response = caller.send("POST", "/$route/1", body = "x".repeat(uploadBytes))
+                                    withClue("$route $contentType $pauseMs ms: ${response.text.take(400)}") {
+                                        looksComplete(response) shouldBe false
+                                    }
+                                }
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    })
