Take no status outside 100 to 599 for an answer

Cause: ResponseHeadValidator checked for three digits of which the first is not 0.

Evidence: "600 is not passed on" and "999 is not passed on" in EarlyAnswerSpec failed before; 000, 099, 0, 20, 2000 and -200 were refused already. A call that may run once gets 502 and is not tried again.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponseHeadValidator.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponseHeadValidator.kt
@@ -45,7 +45,8 @@
             else -> checkText(value) ?: checkFraming(earlier, name, value)
         }
 
-    private fun isStatus(text: String): Boolean = text.length == STATUS_DIGITS && isNumber(text) && text[0] != '0'
+    private fun isStatus(text: String): Boolean =
+        text.length == STATUS_DIGITS && isNumber(text) && text[0] in STATUS_CLASSES
 
     private fun isNumber(text: CharSequence): Boolean = text.isNotEmpty() && text.all { it in '0'..'9' }
 
@@ -88,6 +89,7 @@
         private val PROTOCOLS = setOf("HTTP/1.0", "HTTP/1.1")
         private const val PROTOCOL_START = "HTTP/"
         private const val STATUS_DIGITS = 3
+        private val STATUS_CLASSES = '1'..'5'
         private const val SWITCHING_PROTOCOLS = "101"
         private const val DELETE = '\u007f'
         private val STATUS_LINE = Regex("HTTP/[0-9]\\.[0-9][ \\t]+[0-9]{3}")
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EarlyAnswerSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EarlyAnswerSpec.kt
@@ -4,6 +4,8 @@
 import io.kotest.core.spec.IsolationMode
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import org.chestnutloom.fakes.edge.ScriptedResponse
+import org.chestnutloom.fakes.edge.responseHead
 
 private const val HALF = "half of it"
 private const val UPLOAD_BYTES = 900_000
@@ -63,4 +65,22 @@
                 }
             }
         }
+
+        describe("an answer with a status that HTTP does not have") {
+            // Guards against answers that are no answer of a target in the protocol (issue 47, MIXED).
+            listOf("000", "099", "0", "20", "2000", "-200", "600", "999").forEach { status ->
+                it("$status is not passed on") {
+                    val target =
+                        fleet.target("s-2") {
+                            ScriptedResponse(listOf(responseHead(it, "$status Odd") + "Content-Length: 4\r\n\r\nodd!"))
+                        }
+                    val caller = RawCaller(fleet.gateway("g1"))
+                    val response = caller.send("POST", "/non_idempotent/1", body = "x")
+                    response.status shouldBe 502
+                    response.header("Chestnutloom-Server-Signature") shouldBe null
+                    // A call that may run once is not tried again.
+                    target.received.size shouldBe 1
+                }
+            }
+        }
     })
