Write responses whole before a shutdown closes their connections

Cause: a response counted as ended when its last bytes were handed to the connection, which was then closed at once, and bytes that were not written did not count as busy.

Evidence: IngressShutdownSpec failed before: the server was not busy while 24 MB waited for their caller.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
@@ -62,6 +62,20 @@
     val isIdle: Boolean
         get() = current == null && head == null && pending.isEmpty() && pendingRejection == null
 
+    /** Whether a request is in progress, or its caller has not been sent the whole response yet. */
+    val isBusy: Boolean
+        get() = !isIdle || hasUnwrittenBytes
+
+    private val hasUnwrittenBytes: Boolean
+        get() =
+            (
+                context
+                    .channel()
+                    .unsafe()
+                    .outboundBuffer()
+                    ?.totalPendingWriteBytes() ?: 0
+            ) > 0
+
     /** Closes the connection if no request is in progress. */
     fun closeIfIdle() {
         if (isIdle) context.close()
@@ -210,7 +224,12 @@
         currentReservation = null
         if (!context.channel().isActive) return
         if (isClosing) return discardPending()
-        if (registry.isShuttingDown && isIdle) context.close() else handleNext()
+        if (registry.isShuttingDown && isIdle) closeWhenWritten() else handleNext()
+    }
+
+    /** Closes the connection once a caller that reads slowly has been sent all of its response. */
+    private fun closeWhenWritten() {
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { context.close() }
     }
 
     /** Drops the requests that the caller sent behind the last one, which it may send again on another connection. */
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressRegistry.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressRegistry.kt
@@ -8,9 +8,9 @@
     var isShuttingDown: Boolean = false
         private set
 
-    /** Whether any connection has a request in progress. */
+    /** Whether any connection has a request in progress or a response that is not written yet. */
     val isBusy: Boolean
-        get() = connections.any { !it.isIdle }
+        get() = connections.any { it.isBusy }
 
     fun add(connection: IngressConnection) {
         connections += connection
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressServer.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressServer.kt
@@ -24,7 +24,7 @@
     private val registry = IngressRegistry()
     private var serverChannel: Channel? = null
 
-    /** Whether any connection has a request in progress. */
+    /** Whether any connection has a request in progress or a response that is not written yet. */
     public val isBusy: Boolean
         get() = registry.isBusy
 
