Keep the budgets of each client account's programs apart

Cause: the row of a budget, the budget in memory and TrimBudget named the program alone.

Change: the account is part of all three.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
@@ -7,6 +7,7 @@
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.edge.budget.BudgetAllocator
+import org.chestnutloom.edge.budget.BudgetKey
 import org.chestnutloom.edge.store.ChangeFailure
 import org.chestnutloom.edge.store.RowSnapshot
 import org.chestnutloom.edge.store.RowStore
@@ -51,7 +52,14 @@
         }
 
     private suspend fun settle(request: TrimBudget): LinkReply =
-        if (budgets.settle(request.program)) Done else refusal("The claim could not be written.")
+        if (budgets.settle(
+                BudgetKey(request.program, request.account),
+            )
+        ) {
+            Done
+        } else {
+            refusal("The claim could not be written.")
+        }
 
     private suspend fun read(request: ReadStore): StoreReply =
         store
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
@@ -19,7 +19,6 @@
 import org.chestnutloom.common.log.warnEvent
 import org.chestnutloom.edge.store.ChangeFailure
 import org.chestnutloom.edge.store.storeUnavailable
-import org.chestnutloom.id.ProgramId
 import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
@@ -51,11 +50,11 @@
     /** The number of budgets that were ever created. */
     private var generations = 0L
 
-    private val budgets = LinkedHashMap<ProgramId, ProgramBudget>(INITIAL_PROGRAMS, LOAD_FACTOR, true)
+    private val budgets = LinkedHashMap<BudgetKey, ProgramBudget>(INITIAL_PROGRAMS, LOAD_FACTOR, true)
 
     /** Reserves the tokens of [request], or refuses the turn as not run. */
     public suspend fun reserve(request: TurnTokens): Either<Refusal, Reservation> {
-        val budget = budgetOf(request.program)
+        val budget = budgetOf(request.key)
         val reservation = reservation(request, budget)
         if (budget.covers(reservation)) {
             budget.start(reservation)
@@ -77,30 +76,30 @@
     ) = Reservation(request.turn, request.maxTokens, request.isStored) { ended, usedTokens, isWhole ->
         budget.end(ended, usedTokens)
         val isUnstarted = ended.startsProgram && usedTokens == 0L
-        if (if (ended.isStored) !isWhole else isUnstarted) writeSoon(request.program, budget)
+        if (if (ended.isStored) !isWhole else isUnstarted) writeSoon(request.key, budget)
     }
 
     /**
-     * Records what is spent of the budget of [program], and that its turns which have ended need no more.
+     * Records what is spent of the budget [key], and that its turns which have ended need no more.
      *
      * Returns whether the store has acknowledged it.
      */
-    public suspend fun settle(program: ProgramId): Boolean {
-        val budget = budgets[program] ?: return true
-        return settle(program, budget)
+    public suspend fun settle(key: BudgetKey): Boolean {
+        val budget = budgets[key] ?: return true
+        return settle(key, budget)
     }
 
     /** Returns whether the row contains the current claim. */
     private suspend fun settle(
-        program: ProgramId,
+        key: BudgetKey,
         budget: ProgramBudget,
     ): Boolean =
         budget.claiming.withLock {
             repeat(MAX_ATTEMPTS) {
                 if (!budget.isOutdated) return true
-                val failure = write(program, budget, budget.currentClaim())
+                val failure = write(key, budget, budget.currentClaim())
                 if (failure is ChangeFailure.Failed) {
-                    logger.warnEvent("budget_settle_failed", "program" to program, "cause" to failure.cause)
+                    logger.warnEvent("budget_settle_failed", "program" to key.program, "cause" to failure.cause)
                     return false
                 }
             }
@@ -118,13 +117,13 @@
                 .map { it.key to it.value }
                 .asReversed()
         unsettled.chunked(CONCURRENT_SETTLEMENTS).forEach { part ->
-            coroutineScope { part.map { (program, budget) -> async { settle(program, budget) } }.awaitAll() }
+            coroutineScope { part.map { (key, budget) -> async { settle(key, budget) } }.awaitAll() }
         }
     }
 
     /** Writes the claim without letting a caller wait. */
     private fun writeSoon(
-        program: ProgramId,
+        key: BudgetKey,
         budget: ProgramBudget,
     ) {
         if (budget.isSettling) return
@@ -132,7 +131,7 @@
         scope.launch {
             try {
                 repeat(SETTLE_TRIES) {
-                    if (settle(program, budget)) return@launch
+                    if (settle(key, budget)) return@launch
                     delay(SETTLE_RETRY_DELAY)
                 }
             } finally {
@@ -141,8 +140,8 @@
         }
     }
 
-    private fun budgetOf(program: ProgramId): ProgramBudget {
-        val budget = budgets.getOrPut(program) { ProgramBudget(self, ++generations) }
+    private fun budgetOf(key: BudgetKey): ProgramBudget {
+        val budget = budgets.getOrPut(key) { ProgramBudget(self, ++generations) }
         if (budgets.size > maxPrograms) evictOldestIdle(except = budget)
         return budget
     }
@@ -151,16 +150,16 @@
     private fun evictOldestIdle(except: ProgramBudget) {
         val oldest =
             budgets.entries.firstOrNull { it.value !== except && !it.value.isBusy && !it.value.isSettling } ?: return
-        val (program, budget) = oldest.key to oldest.value
+        val (key, budget) = oldest.key to oldest.value
         if (!budget.needsWrite) {
-            budgets -= program
+            budgets -= key
             return
         }
         budget.isSettling = true
         scope.launch {
-            val isSettled = settle(program, budget)
+            val isSettled = settle(key, budget)
             budget.isSettling = false
-            if (isSettled && !budget.isBusy) budgets -= program
+            if (isSettled && !budget.isBusy) budgets -= key
         }
     }
 
@@ -179,27 +178,27 @@
             if (isShort && arePeersSettled == false) return contended()
             val failure =
                 if (isShort) {
-                    arePeersSettled = peers.settle(request.program, budget.otherClaims)
+                    arePeersSettled = peers.settle(request.key, budget.otherClaims)
                     readSettled(request, budget)
                 } else {
-                    write(request.program, budget, budget.currentClaim(reservation, aheadTokens(request, budget)))
+                    write(request.key, budget, budget.currentClaim(reservation, aheadTokens(request, budget)))
                 }
             if (failure is ChangeFailure.Failed) {
-                if (!isShort) writeSoon(request.program, budget)
-                return claimFailed(request.program, failure)
+                if (!isShort) writeSoon(request.key, budget)
+                return claimFailed(request.key, failure)
             }
-            if (failure == null && !isShort) return null.also { start(request.program, budget, reservation) }
+            if (failure == null && !isShort) return null.also { start(request.key, budget, reservation) }
         }
         return contended()
     }
 
     /** Starts [reservation], which has been claimed, unless its caller has left meanwhile. */
     private fun start(
-        program: ProgramId,
+        key: BudgetKey,
         budget: ProgramBudget,
         reservation: Reservation,
     ) {
-        if (reservation.isCompleted) writeSoon(program, budget) else budget.start(reservation)
+        if (reservation.isCompleted) writeSoon(key, budget) else budget.start(reservation)
     }
 
     /** Returns by how much a claim exceeds the current need. */
@@ -218,21 +217,21 @@
         request: TurnTokens,
         budget: ProgramBudget,
     ): ChangeFailure.Failed? {
-        rows.read(request.program, budget)?.let { return it }
+        rows.read(request.key, budget)?.let { return it }
         val pending = budget.otherClaims.flatMap { it.pending }.map { it.turn }
-        val spent = pending.mapNotNull { turn -> storedTurns.read(turn, request.account)?.let { turn to it } }
+        val spent = pending.mapNotNull { turn -> storedTurns.read(turn, request.key.account)?.let { turn to it } }
         budget.settle(spent.toMap())
         return null
     }
 
     /** Writes [claim], and returns the failure, or null on success. After a conflict the current row has been applied. */
     private suspend fun write(
-        program: ProgramId,
+        key: BudgetKey,
         budget: ProgramBudget,
         claim: BudgetClaim,
     ): ChangeFailure? {
         budget.isWriteUncertain = true
-        return rows.write(program, budget, claim)
+        return rows.write(key, budget, claim)
     }
 
     /** Refuses a turn for which the claims of gateways leave no room. */
@@ -243,7 +242,7 @@
         val isExhausted = budget.isExhausted(request.budgetTokens, request.maxTokens, peers::isRegistered)
         logger.event(
             if (isExhausted) "budget_exhausted" else "budget_unsettled",
-            "program" to request.program,
+            "program" to request.key.program,
             "budget" to request.budgetTokens,
             "needed" to request.maxTokens,
             "claimed" to request.budgetTokens - budget.freeTokens(request.budgetTokens),
@@ -255,10 +254,10 @@
     }
 
     private fun claimFailed(
-        program: ProgramId,
+        key: BudgetKey,
         failure: ChangeFailure.Failed,
     ): Refusal {
-        logger.warnEvent("budget_claim_failed", "program" to program, "cause" to failure.cause)
+        logger.warnEvent("budget_claim_failed", "program" to key.program, "cause" to failure.cause)
         return storeUnavailable("The budget cannot be reserved in the store.")
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetPeers.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetPeers.kt
@@ -1,16 +1,14 @@
 package org.chestnutloom.edge.budget
 
-import org.chestnutloom.id.ProgramId
-
 /** The other gateways as holders of budget claims. */
 public fun interface BudgetPeers {
     /**
-     * Asks the gateways that hold [claims] to record what they have spent of the budget of [program].
+     * Asks the gateways that hold [claims] to record what they have spent of the budget [key].
      *
      * Returns whether every holder that may still be alive has done so.
      */
     public suspend fun settle(
-        program: ProgramId,
+        key: BudgetKey,
         claims: List<BudgetClaim>,
     ): Boolean
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetRows.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetRows.kt
@@ -9,7 +9,6 @@
 import org.chestnutloom.edge.store.RowPut
 import org.chestnutloom.edge.store.RowStore
 import org.chestnutloom.edge.store.StoredRow
-import org.chestnutloom.id.ProgramId
 import org.chestnutloom.store.StoreFailure
 
 /** Reads and writes the budgets of programs in the platform's store, one row each. */
@@ -18,13 +17,13 @@
 ) {
     private val codec = CborCodec(BudgetRow.serializer())
 
-    /** Reads the row of [program] into [budget], and returns the failure, or null on success. */
+    /** Reads the row of [key] into [budget], and returns the failure, or null on success. */
     internal suspend fun read(
-        program: ProgramId,
+        key: BudgetKey,
         budget: ProgramBudget,
     ): ChangeFailure.Failed? {
-        val snapshot = store.read(TABLE_NAME, program.value).getOrElse { return ChangeFailure.Failed(it) }
-        return apply(program, budget, snapshot.rows)
+        val snapshot = store.read(TABLE_NAME, key.partition).getOrElse { return ChangeFailure.Failed(it) }
+        return apply(key, budget, snapshot.rows)
     }
 
     /**
@@ -32,21 +31,21 @@
      * on success. After a conflict the current row has been applied.
      */
     internal suspend fun write(
-        program: ProgramId,
+        key: BudgetKey,
         budget: ProgramBudget,
         claim: BudgetClaim,
     ): ChangeFailure? {
-        val key = keyOf(program)
+        val rowKey = rowKeyOf(key)
         val spentUnstoredTokens = budget.beginWrite(claim)
         val change =
             RowChange(
-                conditions = listOf(RowCondition(key, budget.rowVersion)),
-                puts = listOf(RowPut(key, codec.encode(budget.rowWith(claim)))),
+                conditions = listOf(RowCondition(rowKey, budget.rowVersion)),
+                puts = listOf(RowPut(rowKey, codec.encode(budget.rowWith(claim)))),
             )
         val version =
             store.change(change).getOrElse { failure ->
                 if (failure !is ChangeFailure.Conflict) return failure
-                return apply(program, budget, failure.current) ?: failure
+                return apply(key, budget, failure.current) ?: failure
             }
         budget.acknowledge(claim, spentUnstoredTokens, version)
         return null
@@ -54,11 +53,11 @@
 
     /** Applies the row among [current], and returns the failure if it cannot be decoded, or null on success. */
     private fun apply(
-        program: ProgramId,
+        key: BudgetKey,
         budget: ProgramBudget,
         current: List<StoredRow>,
     ): ChangeFailure.Failed? {
-        val row = current.firstOrNull { it.key == keyOf(program) }
+        val row = current.firstOrNull { it.key == rowKeyOf(key) }
         val value = row?.value
         if (value == null) {
             budget.apply(row = null, version = 0)
@@ -72,10 +71,9 @@
         return null
     }
 
-    private fun keyOf(program: ProgramId): RowKey = RowKey(TABLE_NAME, program.value, ROW_NAME)
+    private fun rowKeyOf(key: BudgetKey): RowKey = RowKey(TABLE_NAME, key.partition, key.rowName)
 
     private companion object {
         private const val TABLE_NAME = "programs"
-        private const val ROW_NAME = "budget"
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/TurnTokens.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/TurnTokens.kt
@@ -1,8 +1,6 @@
 package org.chestnutloom.edge.budget
 
 import org.chestnutloom.id.CallId
-import org.chestnutloom.id.ClientAccountId
-import org.chestnutloom.id.ProgramId
 
 /**
  * A request for tokens of a program's budget for one turn.
@@ -12,8 +10,7 @@
  * @property isStored whether the turn is stored before its response ends
  */
 public class TurnTokens(
-    public val program: ProgramId,
-    public val account: ClientAccountId?,
+    public val key: BudgetKey,
     public val turn: CallId,
     public val budgetTokens: Long,
     public val maxTokens: Long,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
@@ -6,6 +6,7 @@
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.edge.budget.BudgetAllocator
+import org.chestnutloom.edge.budget.BudgetKey
 import org.chestnutloom.edge.budget.Reservation
 import org.chestnutloom.edge.budget.TurnTokens
 import org.chestnutloom.edge.config.AccountSettings
@@ -100,9 +101,10 @@
         if (route.kind != RouteKind.STREAMING) return null
         val program = head.program ?: return null
         val budgetTokens = head.tokenBudget ?: return null
-        if (!StoreLimits.allowsName(program.value)) raise(badRequest("The program's id is too long."))
+        val key = BudgetKey(program, account?.id)
+        if (!key.isStorable) raise(badRequest("The program's id is too long."))
         return budgets
-            .reserve(TurnTokens(program, account?.id, id, budgetTokens, head.maxOutputTokens, route.isRetained))
+            .reserve(TurnTokens(key, id, budgetTokens, head.maxOutputTokens, route.isRetained))
             .bind()
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetBudgetPeers.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetBudgetPeers.kt
@@ -4,8 +4,8 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import org.chestnutloom.edge.budget.BudgetClaim
+import org.chestnutloom.edge.budget.BudgetKey
 import org.chestnutloom.edge.budget.BudgetPeers
-import org.chestnutloom.id.ProgramId
 import org.chestnutloom.wire.message.Done
 import org.chestnutloom.wire.message.TrimBudget
 import kotlin.time.Duration.Companion.milliseconds
@@ -16,11 +16,11 @@
     private val links: PeerLinks,
 ) : BudgetPeers {
     override suspend fun settle(
-        program: ProgramId,
+        key: BudgetKey,
         claims: List<BudgetClaim>,
     ): Boolean {
         val holders = fleet.peers.filter { peer -> claims.any { isHeldBy(it, peer.member) } }
-        val replies = coroutineScope { holders.map { async { requestSettlement(it, program) } }.awaitAll() }
+        val replies = coroutineScope { holders.map { async { requestSettlement(it, key) } }.awaitAll() }
         return replies.all { it }
     }
 
@@ -28,10 +28,10 @@
 
     private suspend fun requestSettlement(
         holder: Peer,
-        program: ProgramId,
+        key: BudgetKey,
     ): Boolean =
         !holder.isUnresponsive &&
-            links.request(holder.member, TrimBudget(program), SETTLE_TIMEOUT).getOrNull() == Done
+            links.request(holder.member, TrimBudget(key.program, key.account), SETTLE_TIMEOUT).getOrNull() == Done
 
     private fun isHeldBy(
         claim: BudgetClaim,
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/EdgeLinkHandlerSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/EdgeLinkHandlerSpec.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.test.runTest
 import org.chestnutloom.edge.budget.BudgetAllocator
 import org.chestnutloom.edge.budget.BudgetHolder
+import org.chestnutloom.edge.budget.BudgetKey
 import org.chestnutloom.edge.budget.BudgetRows
 import org.chestnutloom.edge.budget.TurnTokens
 import org.chestnutloom.edge.store.ChangeFailure
@@ -92,7 +93,13 @@
                     val budgets = budgetAllocator(store)
                     val handler = EdgeLinkHandler(store, budgets, turnStore(store))
                     val turn =
-                        TurnTokens(PROGRAM, null, CallId("t"), budgetTokens = 800, maxTokens = 100, isStored = false)
+                        TurnTokens(
+                            BudgetKey(PROGRAM, null),
+                            CallId("t"),
+                            budgetTokens = 800,
+                            maxTokens = 100,
+                            isStored = false,
+                        )
                     budgets.reserve(turn).getOrNull()?.complete(usedTokens = 50)
                     handler.handle(PEER, TrimBudget(PROGRAM)).first() shouldBe Done
                 }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetAllocatorSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetAllocatorSpec.kt
@@ -12,6 +12,7 @@
 import org.chestnutloom.edge.store.RowKey
 import org.chestnutloom.edge.store.RowPut
 import org.chestnutloom.id.CallId
+import org.chestnutloom.id.ClientAccountId
 import org.chestnutloom.id.GatewayId
 import org.chestnutloom.id.Incarnation
 import org.chestnutloom.id.ProgramId
@@ -37,10 +38,10 @@
     private fun peersOf(own: String) =
         object : BudgetPeers {
             override suspend fun settle(
-                program: ProgramId,
+                key: BudgetKey,
                 claims: List<BudgetClaim>,
             ): Boolean {
-                claims.forEach { peerWith(it)?.settle(program) }
+                claims.forEach { peerWith(it)?.settle(key) }
                 return !areHoldersUnresponsive
             }
 
@@ -89,8 +90,9 @@
         suspend fun BudgetAllocator.reserveTurn(
             turn: CallId = nextTurn(),
             program: ProgramId = PROGRAM,
+            account: ClientAccountId? = null,
             isStored: Boolean = false,
-        ) = reserve(TurnTokens(program, null, turn, BUDGET, MAX_TOKENS, isStored))
+        ) = reserve(TurnTokens(BudgetKey(program, account), turn, BUDGET, MAX_TOKENS, isStored))
 
         /** Runs a turn that is stored at its end. */
         suspend fun BudgetAllocator.runStoredTurn(usedTokens: Long): Boolean {
@@ -163,6 +165,21 @@
             }
         }
 
+        describe("programs of two client accounts with the same id") {
+            // Guards against a program that is denied for the tokens of another account's (SharedProgramId).
+            it("have budgets of their own") {
+                val allocator = gateways.start("a")
+                listOf("ward", "clinic").forEach { account ->
+                    val turns =
+                        (1..20).count {
+                            val turn = allocator.reserveTurn(account = ClientAccountId(account))
+                            turn.onRight { it.complete(MAX_TOKENS) }.isRight()
+                        }
+                    turns shouldBe 8
+                }
+            }
+        }
+
         describe("a program whose row cannot be decoded") {
             // Guards against claims that are taken for missing, so that their tokens are spent twice.
             it("is refused as not run, and the row is left as it is") {
@@ -193,8 +210,15 @@
 
                 suspend fun turnOf(allocator: BudgetAllocator) =
                     allocator
-                        .reserve(TurnTokens(PROGRAM, null, nextTurn(), 4 * MAX_TOKENS, MAX_TOKENS, isStored = false))
-                        .onRight { it.complete(MAX_TOKENS) }
+                        .reserve(
+                            TurnTokens(
+                                BudgetKey(PROGRAM, null),
+                                nextTurn(),
+                                4 * MAX_TOKENS,
+                                MAX_TOKENS,
+                                isStored = false,
+                            ),
+                        ).onRight { it.complete(MAX_TOKENS) }
                 listOf(b, a, b, a).map { turnOf(it).isRight() } shouldBe listOf(true, true, true, true)
                 turnOf(b).leftOrNull()?.code shouldBe RefusalCode.BUDGET_EXHAUSTED
             }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetModel.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetModel.kt
@@ -225,7 +225,7 @@
             val id = CallId("t${++turnCount}")
             val caller =
                 scope.launch {
-                    val result = allocator.reserve(TurnTokens(PROGRAM, null, id, budgetTokens, MAX_TOKENS, isRetained))
+                    val result = allocator.reserve(TurnTokens(PROGRAM, id, budgetTokens, MAX_TOKENS, isRetained))
                     result.onRight { running += RunningTurn(it, id, isRetained) }
                     val isExhausted = result.leftOrNull()?.code == RefusalCode.BUDGET_EXHAUSTED
                     val hasRoom = budgetTokens - countedTokens - runningTokens >= MAX_TOKENS
@@ -252,7 +252,8 @@
         }
 
         suspend fun evict() {
-            val turn = TurnTokens(ProgramId("other"), null, CallId("o"), budgetTokens, MAX_TOKENS, isStored = true)
+            val turn =
+                TurnTokens(BudgetKey(ProgramId("other"), null), CallId("o"), budgetTokens, MAX_TOKENS, isStored = true)
             scope.launch { allocator.reserve(turn) }.cancel()
         }
     }
@@ -261,11 +262,11 @@
         private val own: ModelGateway,
     ) : BudgetPeers {
         override suspend fun settle(
-            program: ProgramId,
+            key: BudgetKey,
             claims: List<BudgetClaim>,
         ): Boolean {
             val holders = claims.mapNotNull(::holderOf)
-            val settled = holders.filterNot { it.isPaused }.map { it.allocator.settle(program) }
+            val settled = holders.filterNot { it.isPaused }.map { it.allocator.settle(key) }
             return settled.size == holders.size && settled.all { it }
         }
 
@@ -279,7 +280,7 @@
 
     companion object {
         const val MAX_TOKENS = 100L
-        private val PROGRAM = ProgramId("p1")
+        private val PROGRAM = BudgetKey(ProgramId("p1"), null)
         private const val STEP_MS = 60L
         private const val TRIES = 6
     }
