--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EarlyAnswerSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/EarlyAnswerSpec.kt
@@ -44,7 +44,9 @@
 
         describe("an answer without a length whose connection ends while its upload is still being sent") {
             // Guards against half of an answer that reaches its caller as the whole one (issue 47, MIXED).
-            EarlyEnd.entries.flatMap { listOf(it to UPLOAD_BYTES, it to SMALL_UPLOAD_BYTES) }.forEach { (end, uploadBytes) ->
+            val uploads = listOf(UPLOAD_BYTES, SMALL_UPLOAD_BYTES)
+            val cells = EarlyEnd.entries.flatMap { end -> uploads.map { end to it } }
+            cells.forEach { (end, uploadBytes) ->
                 it("is not told as whole if the target ends with $end and the upload has $uploadBytes bytes") {
                     val caller = RawCaller(fleet.gateway("g1"))
                     for (contentType in listOf("text/plain", "text/event-stream")) {
