Read no request behind a response that a shutdown waits for

Cause: the connection was not marked as closing; before, it was closed in the same step.

Found by reading; it passes now.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
@@ -227,8 +227,9 @@
         if (registry.isShuttingDown && isIdle) closeWhenWritten() else handleNext()
     }
 
-    /** Closes the connection once a caller that reads slowly has been sent all of its response. */
+    /** Closes the connection once a caller that reads slowly has been sent all of its response, and reads no request. */
     private fun closeWhenWritten() {
+        isClosing = true
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { context.close() }
     }
 
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/http/IngressShutdownSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/http/IngressShutdownSpec.kt
@@ -22,8 +22,10 @@
             it("is written whole while the server shuts down") {
                 val loop = EdgeLoop()
                 lateinit var server: IngressServer
+                var handled = 0
                 val handler =
                     CallerHandler { _, exchange ->
+                        handled++
                         val headers = DefaultHttpHeaders().add("Content-Length", RESPONSE_BYTES)
                         exchange.start(200, headers)
                         exchange.send(ByteArray(RESPONSE_BYTES))
@@ -44,7 +46,10 @@
                 withContext(Dispatchers.IO) {
                     Socket("127.0.0.1", port).use { socket ->
                         socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".encodeToByteArray())
-                        delay(500)
+                        delay(250)
+                        // Sent behind the last response, so that it must not run.
+                        socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".encodeToByteArray())
+                        delay(250)
                         val wasBusy = withContext(loop.scope.coroutineContext) { server.isBusy }
                         val bytes = socket.getInputStream().readAllBytes()
                         val headBytes =
@@ -54,6 +59,7 @@
                                 .decodeToString()
                                 .indexOf("\r\n\r\n") + 4
                         wasBusy shouldBe true
+                        handled shouldBe 1
                         bytes.size - headBytes shouldBe RESPONSE_BYTES
                     }
                 }
