Move the rejection of a request and the gateways of the budget tests into files of their own

No behaviour changes; IngressShutdownSpec, BudgetAllocatorSpec, BudgetModelSpec and EdgeLinkHandlerSpec pass.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
@@ -51,15 +51,10 @@
             else -> refusal("Edge gateways do not support this request type.")
         }
 
-    private suspend fun settle(request: TrimBudget): LinkReply =
-        if (budgets.settle(
-                BudgetKey(request.program, request.account),
-            )
-        ) {
-            Done
-        } else {
-            refusal("The claim could not be written.")
-        }
+    private suspend fun settle(request: TrimBudget): LinkReply {
+        val isSettled = budgets.settle(BudgetKey(request.program, request.account))
+        return if (isSettled) Done else refusal("The claim could not be written.")
+    }
 
     private suspend fun read(request: ReadStore): StoreReply =
         store
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/IngressConnection.kt
@@ -273,16 +273,7 @@
     }
 
     private fun sendRejection(status: HttpResponseStatus) {
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER)
-        HttpUtil.setContentLength(response, 0)
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        if (status == HttpResponseStatus.METHOD_NOT_ALLOWED) {
-            response.headers().set(HttpHeaderNames.ALLOW, RequestHeadCheck.SERVED_METHODS.joinToString(", "))
-        }
-        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_SECONDS)
-        }
-        context.writeAndFlush(response).addListener { closeAfterDelay() }
+        context.writeAndFlush(rejectionOf(status)).addListener { closeAfterDelay() }
     }
 
     /** Closes after a delay: closing a socket with unread data sends RST, and the caller could lose the response. */
@@ -296,9 +287,6 @@
     private companion object {
         private const val MAX_PIPELINED = 2
 
-        /** A large body is usually sent and forwarded within this time. */
-        private const val RETRY_SECONDS = 1
-
         private val CLOSE_DELAY = 500.milliseconds
     }
 }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetAllocatorSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetAllocatorSpec.kt
@@ -3,9 +3,6 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
-import kotlinx.coroutines.ExperimentalCoroutinesApi
-import kotlinx.coroutines.test.TestScope
-import kotlinx.coroutines.test.UnconfinedTestDispatcher
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.edge.store.InMemoryRowStore
 import org.chestnutloom.edge.store.RowChange
@@ -13,8 +10,6 @@
 import org.chestnutloom.edge.store.RowPut
 import org.chestnutloom.id.CallId
 import org.chestnutloom.id.ClientAccountId
-import org.chestnutloom.id.GatewayId
-import org.chestnutloom.id.Incarnation
 import org.chestnutloom.id.ProgramId
 import kotlin.random.Random
 
@@ -22,66 +17,10 @@
 private const val BUDGET = 8 * MAX_TOKENS
 private val PROGRAM = ProgramId("p1")
 
-/** Gateways of one fleet that share a store and record what they have spent when another gateway asks. */
-@OptIn(ExperimentalCoroutinesApi::class)
-private class Gateways(
-    private val store: InMemoryRowStore,
-) {
-    /** The tokens of the turns that are stored. */
-    val storedTurns = HashMap<CallId, Long>()
-
-    /** Runs writes at once, and never runs those that are delayed. */
-    private val scope = TestScope(UnconfinedTestDispatcher())
-    private val allocators = LinkedHashMap<String, BudgetAllocator>()
-
-    /** The gateways other than [own]. */
-    private fun peersOf(own: String) =
-        object : BudgetPeers {
-            override suspend fun settle(
-                key: BudgetKey,
-                claims: List<BudgetClaim>,
-            ): Boolean {
-                claims.forEach { peerWith(it)?.settle(key) }
-                return !areHoldersUnresponsive
-            }
-
-            override fun isRegistered(claim: BudgetClaim): Boolean = peerWith(claim) != null
-
-            private fun peerWith(claim: BudgetClaim): BudgetAllocator? =
-                allocators[keyOf(claim)].takeIf { keyOf(claim) != own }
-        }
-
-    /** Whether gateways that hold claims do not reply in time. */
-    var areHoldersUnresponsive = false
-
-    private fun keyOf(claim: BudgetClaim) = "${claim.gateway}/${claim.incarnation}"
-
-    fun start(
-        name: String,
-        incarnation: String = "1",
-        maxPrograms: Int = 100,
-    ): BudgetAllocator =
-        BudgetAllocator(
-            BudgetRows(store),
-            peersOf("$name/$incarnation"),
-            { turn, _ -> storedTurns[turn] },
-            BudgetHolder(GatewayId(name), Incarnation(incarnation)),
-            scope.backgroundScope,
-            maxPrograms,
-        ).also { allocators["$name/$incarnation"] = it }
-
-    fun kill(
-        name: String,
-        incarnation: String = "1",
-    ) {
-        allocators.remove("$name/$incarnation")
-    }
-}
-
 class BudgetAllocatorSpec :
     DescribeSpec({
         val store = InMemoryRowStore()
-        val gateways = Gateways(store)
+        val gateways = BudgetGateways(store)
 
         var turns = 0
 
@@ -308,7 +247,7 @@
                 (1..200).forEach { seed ->
                     val random = Random(seed)
                     val faultyStore = InMemoryRowStore()
-                    val fleet = Gateways(faultyStore)
+                    val fleet = BudgetGateways(faultyStore)
                     var runs = 1
                     val allocators = MutableList(3) { fleet.start("g$it") }
                     var spentTokens = 0L
