Bound the budgets that wait in memory for the store

What could happen: in an outage, each program that is refused leaves a budget with an unwritten claim, which was not evicted, so that the number of budgets grew as long as the outage lasted, with a write under way for each new one.

Cause: eviction waits for a write of what only the gateway knows.

Change: at most 1,000 more than the limit wait; beyond that the oldest is forgotten at once. Its claim in the store covers what it has spent, so that nothing is spent twice; it counts in full. Tokens that callers state can no longer overflow to a negative claim ahead.

Found by reading, without a play of such an outage. BudgetAllocatorSpec and BudgetModelSpec pass.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
@@ -76,7 +76,8 @@
     ) = Reservation(request.turn, request.maxTokens, request.isStored) { ended, usedTokens, isWhole ->
         budget.end(ended, usedTokens)
         val isUnstarted = ended.startsProgram && usedTokens == 0L
-        if (if (ended.isStored) !isWhole else isUnstarted) writeSoon(request.key, budget)
+        val isUnrecorded = if (ended.isStored) !isWhole else isUnstarted
+        if (isUnrecorded) writeSoon(request.key, budget)
     }
 
     /**
@@ -146,8 +147,16 @@
         return budget
     }
 
-    /** Forgets the budget that was not used for the longest time, once the store has what only this gateway knows of it. */
+    /**
+     * Forgets the budget that was not used for the longest time, once the store has what only this gateway knows of it.
+     *
+     * If too many wait for the store, it is forgotten at once: its claim covers all that it has spent, and counts in full.
+     */
     private fun evictOldestIdle(except: ProgramBudget) {
+        if (budgets.size > maxPrograms + MAX_UNSETTLED_PROGRAMS) {
+            budgets.entries.firstOrNull { it.value !== except && !it.value.isBusy }?.let { budgets -= it.key }
+            return
+        }
         val oldest =
             budgets.entries.firstOrNull { it.value !== except && !it.value.isBusy && !it.value.isSettling } ?: return
         val (key, budget) = oldest.key to oldest.value
@@ -209,7 +218,9 @@
         if (request.isStored) return 0
         val turns = (MAX_TURNS_AHEAD - budget.unsettledClaimCount).coerceAtLeast(0)
         val freeTokens = budget.freeTokens(request.budgetTokens) - request.maxTokens
-        return minOf(turns * request.maxTokens, request.budgetTokens / PREALLOCATION_DIVISOR, freeTokens)
+        val tokens = minOf(turns * request.maxTokens, request.budgetTokens / PREALLOCATION_DIVISOR, freeTokens)
+        // Callers state the numbers, whose product may overflow.
+        return tokens.coerceAtLeast(0)
     }
 
     /** Reads the row and what the turns of other gateways in it have spent; returns the failure, or null on success. */
@@ -277,6 +288,9 @@
         private const val INITIAL_PROGRAMS = 64
         private const val LOAD_FACTOR = 0.75f
         private const val MAX_PROGRAMS = 20_000
+
+        /** Further programs that are kept while their claims cannot be written. */
+        private const val MAX_UNSETTLED_PROGRAMS = 1_000
         private const val MAX_ATTEMPTS = 8
 
         /** Another gateway writes its claim within this time. */
