Serve no second request on a connection whose response repeated no id

What callers saw: a 504 after the whole time limit of the route, though a free target would have answered at once.

Cause: a response without an id is taken only when it is the first on its connection, as it could otherwise be a late one to an earlier request. Its connection went back to the pool all the same; the next response without an id on it was skipped, and the caller waited for a response that had come.

Change: a connection whose response repeated no id ends with it. A late response can still not be taken for another one, since a request without a doubt about its response only runs on a connection without earlier ones.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
@@ -62,7 +62,8 @@
     /**
      * Returns whether [response] may belong to [call] rather than to an earlier request on the connection.
      *
-     * A response without a call id is accepted only as the first one on its connection.
+     * A response without a call id is accepted only as the first one on its connection, which then serves no other
+     * request, as a second response without an id could be a late one to the first.
      */
     private fun isResponseTo(
         call: RoutedCall,
@@ -72,6 +73,7 @@
         val callId = codec.responseCallId(response)
         val isMatch = if (callId == null) !connection.hasResponded else callId == call.id
         if (!isMatch) logUnexpectedResponse(call, callId)
+        if (callId == null) connection.forbidReuse()
         return isMatch
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -96,6 +96,11 @@
     internal val isReset: Boolean
         get() = (context?.channel() as? ResetAwareSocketChannel)?.isReset == true
 
+    /** Lets the exchange in progress end, and no other one begin. */
+    internal fun forbidReuse() {
+        isUsable = false
+    }
+
     /** Pauses or resumes reading from the server, for backpressure. */
     internal fun setReading(isEnabled: Boolean) {
         if (isEnabled) lastBytesAt = clock.elapsed()
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RoutedRequestSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RoutedRequestSpec.kt
@@ -80,6 +80,15 @@
                 (1..6).map { caller.send("POST", "/pay/$it").status }.toSet() shouldBe setOf(200)
             }
 
+            // Guards against a wait for the deadline, and a 504, for the second response without an id on a connection.
+            it("is served again by a target whose responses do not repeat the id of the request") {
+                val text = "HTTP/1.1 200 OK\r\nChestnutloom-Server-Signature: sig\r\nContent-Length: 1\r\n\r\nx"
+                val target = fleet.target("i-1") { ScriptedResponse(listOf(text)) }
+                val caller = fleet.caller()
+                (1..3).map { caller.send("POST", "/pay/$it").status } shouldBe listOf(200, 200, 200)
+                target.received.size shouldBe 3
+            }
+
             it("is retried at another target when another instance has the address of the first") {
                 fleet.target("i-1") {
                     ScriptedResponse(listOf("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"))
