Take no status outside 200 to 599 for an answer at a sidecar

Cause: the HTTP client of the sidecar refuses 000, 099 and whatever is not three digits, and takes all else.

Evidence: "is lost if its status is not one of 200 to 599" failed before with 600 and 999, and passes now; such an answer counts as lost, as the target may have run the call.

"is lost if the target resets the connection behind a part of it" holds this for an upload that is still being written; it passed before the change too.

--- a/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/target/ResponseReader.kt
+++ b/chestnutloom-sidecar/src/main/kotlin/org/chestnutloom/sidecar/target/ResponseReader.kt
@@ -20,6 +20,11 @@
         response: HttpResponse,
     ): TargetEvent {
         if (!belongsTo(id, response)) return lost("the response belongs to another request")
+        if (response.status.value !in
+            FINAL_STATUSES
+        ) {
+            return lost("the response has the status ${response.status.value}")
+        }
         val bytes = response.bodyAsChannel().readRemaining(MAX_RESPONSE_BYTES + 1).readByteArray()
         if (bytes.size > MAX_RESPONSE_BYTES) return TargetEvent.Failed(TargetFailure.ResponseTooLarge)
         if (checksLength && !isComplete(response, bytes)) return lost("the response is incomplete or has no length")
@@ -50,6 +55,7 @@
         }
 
     private companion object {
+        val FINAL_STATUSES = 200..599
         const val MAX_RESPONSE_BYTES = 4L * 1024 * 1024
         const val DEFAULT_CONTENT_TYPE = "application/octet-stream"
     }
--- a/chestnutloom-sidecar/src/test/kotlin/org/chestnutloom/sidecar/HttpTargetSpec.kt
+++ b/chestnutloom-sidecar/src/test/kotlin/org/chestnutloom/sidecar/HttpTargetSpec.kt
@@ -59,12 +59,47 @@
                     it.shouldBeInstanceOf<TargetEvent.Failed>().failure.shouldBeInstanceOf<TargetFailure.Lost>()
                 }
             }
+            // Guards against a response with a status like 000 that reaches the caller as an answer.
+            it("is lost if its status is not one of 200 to 599") {
+                val statuses =
+                    listOf("000", "099", "0", "20", "102", "199", "600", "999", "2000", "-200", "+200", "2x0")
+                val accepted =
+                    statuses.filter { status ->
+                        val (events, _) = exchange("HTTP/1.1 $status OK\r\nContent-Length: 2\r\n\r\nok")
+                        events.single() !is TargetEvent.Failed
+                    }
+                accepted shouldBe emptyList()
+            }
             it("is rejected if it has the id of another request") {
                 val (events, _) = exchange(head("X-Request-Id: p1/6", "Content-Length: 2") + "ok")
                 events.single().shouldBeInstanceOf<TargetEvent.Failed>()
             }
         }
 
+        describe("a response that begins while the request is still being sent") {
+            // Guards against the first part of a response without a length that is taken for the whole one.
+            it("is lost if the target resets the connection behind a part of it") {
+                val responses = listOf(head() + "{\"a\":1}", head("Transfer-Encoding: chunked") + "4\r\n{\"a\"\r\n")
+                (responses + (sse + "data: a\n\n")).forEach { response ->
+                    EarlyResetServer(response).use { server ->
+                        val target = HttpTarget(sidecarSettings("http://127.0.0.1:${server.port}"))
+                        val call =
+                            callRequest(
+                                stream = response.startsWith(sse),
+                            ).copy(body = "x".repeat(LONG_BODY_BYTES))
+                        target
+                            .run(call, null)
+                            .toList()
+                            .last()
+                            .shouldBeInstanceOf<TargetEvent.Failed>()
+                            .failure
+                            .shouldBeInstanceOf<TargetFailure.Lost>()
+                        target.close()
+                    }
+                }
+            }
+        }
+
         describe("a streamed response") {
             it("is complete after its final event") {
                 val (events, _) =
@@ -89,6 +124,17 @@
                     chunks shouldBe listOf("first", "second").take(chunks.size)
                 }
             }
+            // Guards against a status like 000 that reaches the caller as an answer.
+            it("is lost if its status is not one of 200 to 599") {
+                val statuses = listOf("000", "099", "600", "999")
+                val accepted =
+                    statuses.filter { status ->
+                        val response = "HTTP/1.1 $status OK\r\nContent-Type: text/event-stream\r\n\r\n"
+                        val (events, _) = exchange(response + "data: a\n\ndata: [DONE]\n\n", stream = true)
+                        events.last() !is TargetEvent.Failed
+                    }
+                accepted shouldBe emptyList()
+            }
             it("may be replaced by a plain error response") {
                 val error = "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
                 exchange(error, stream = true).first shouldContainExactly
@@ -120,5 +166,8 @@
 
 private const val TRACE_PARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 
+/** More than the buffers between a client and a server that reads nothing hold. */
+private const val LONG_BODY_BYTES = 16 * 1024 * 1024
+
 /** Length of the line terminators that end the event after `[DONE]`. */
 private const val LAST_EVENT_TERMINATOR = 2
