Continue programs whose turns are long

Cause: a continued turn held its chain several times over, as read from the store, decoded, joined, copied to an array, and copied to a buffer for the network, and read all its turns at the same time. 96 MB of heap do not hold that; the OutOfMemoryError of TurnChain.requestBody passed the call, and the connection was closed.

Change: the body of a continued turn is the list of the parts that are in memory, written in slices (RequestBody, RequestWriter); long turns are read one after the other (ChainLoader); what all calls hold is bounded, each turn counted once, and a chain that does not fit is refused as not run (TurnMemory).

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -66,6 +66,7 @@
 import org.chestnutloom.edge.target.ListeningProbe
 import org.chestnutloom.edge.target.TargetDirectory
 import org.chestnutloom.edge.target.TargetFactory
+import org.chestnutloom.edge.turn.TurnMemory
 import org.chestnutloom.edge.turn.TurnRows
 import org.chestnutloom.edge.turn.TurnStore
 import org.chestnutloom.time.Clock
@@ -132,7 +133,9 @@
     private val quotaServer = QuotaServer(heartbeats.quotas, configurations, socket, loop.scope)
     private val links = PeerLinks(settings.self, clock, loop.scope)
     private val store = RelayingRowStore(ownStore, storeHealth, fleet, links)
-    private val turns = TurnStore(TurnRows(store, settings.rowBytes), FleetTurnPeers(fleet, links), store, clock)
+    private val turnMemory = TurnMemory(Runtime.getRuntime().maxMemory() / TURN_MEMORY_DIVISOR * TURN_MEMORY_FACTOR)
+    private val turns =
+        TurnStore(TurnRows(store, settings.rowBytes), FleetTurnPeers(fleet, links), store, clock, turnMemory)
     private val budgets =
         BudgetAllocator(
             BudgetRows(store),
@@ -190,6 +193,8 @@
         scheduling.registerGauges()
         metrics.gauge("chestnutloom.edge.bodies.bytes", bodyMemory) { it.reservedBytes.toDouble() }
         metrics.gauge("chestnutloom.edge.bodies.refused", bodyMemory) { it.refusedCount.toDouble() }
+        metrics.gauge("chestnutloom.edge.chains.bytes", turnMemory) { it.heldBytes.toDouble() }
+        metrics.gauge("chestnutloom.edge.chains.refused", turnMemory) { it.refusedCount.toDouble() }
         metrics.gauge("chestnutloom.edge.turns.unsaved", turns) { it.unsavedCount.toDouble() }
         metrics.gauge("chestnutloom.edge.fleet.size", fleet) { it.size.toDouble() }
         metrics.gauge("chestnutloom.edge.fleet.unresponsive", fleet) { it.unresponsiveCount.toDouble() }
@@ -273,6 +278,8 @@
     private companion object {
         /** Each byte of a body is in memory up to three times while its request is read and forwarded. */
         private const val BODY_MEMORY_DIVISOR = 6
+        private const val TURN_MEMORY_FACTOR = 3
+        private const val TURN_MEMORY_DIVISOR = 8
 
         private val CONNECT_TIMEOUT = 400.milliseconds
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
@@ -16,6 +16,7 @@
 import org.chestnutloom.edge.config.RouteKind
 import org.chestnutloom.edge.http.CallerExchange
 import org.chestnutloom.edge.http.CallerRequest
+import org.chestnutloom.edge.http.RequestBody
 import org.chestnutloom.edge.store.StoreLimits
 import org.chestnutloom.edge.store.storeUnavailable
 import org.chestnutloom.edge.turn.TurnChain
@@ -58,12 +59,25 @@
             account = account,
             deadline = minOf(callerDeadline, request.receivedAt + route.timeout),
             callerDeadline = callerDeadline,
-            body = chain?.requestBody(request.body) ?: request.body,
+            body = chain?.requestBody(request.body) ?: RequestBody(listOf(request.body)),
             chain = chain,
-            reservation = reserveTokens(id, route, head, account),
+            reservation = releasingOnFailure(chain) { reserveTokens(id, route, head, account) },
         )
     }
 
+    /** Returns the result of [block], or releases [chain], which then belongs to no call. */
+    private inline fun <T> releasingOnFailure(
+        chain: TurnChain?,
+        block: () -> T,
+    ): T {
+        var isDone = false
+        try {
+            return block().also { isDone = true }
+        } finally {
+            if (!isDone) chain?.release()
+        }
+    }
+
     private fun pickDestination(route: Route): Destination {
         val total = route.destinations.sumOf { it.weight }
         if (total <= 0) return route.destinations.first()
@@ -82,7 +96,7 @@
         if (!route.isRetained) return null
         // The turn could not be saved at its end, so it is refused before it runs.
         if (!turns.canSave) raise(storeUnavailable("The turn cannot be saved because the store is unavailable."))
-        val previous = head.previousTurn ?: return TurnChain(emptyList())
+        val previous = head.previousTurn ?: return turns.emptyChain()
         return turns.chain(previous, account?.id).getOrElse { raise(refusalOf(it)) }
     }
 
@@ -90,6 +104,10 @@
         when (failure) {
             is TurnFailure.NotFound -> Refusal(RefusalCode.NOT_FOUND, Execution.NOT_RUN, "The turn does not exist.")
             is TurnFailure.StoreUnavailable -> storeUnavailable("The turn cannot be read from the store.")
+            is TurnFailure.TooLarge ->
+                Refusal(RefusalCode.BODY_TOO_LARGE, Execution.NOT_RUN, "The turns before this one are too large.")
+            is TurnFailure.NoMemory ->
+                Refusal(RefusalCode.OVERLOADED, Execution.NOT_RUN, "No memory is free for the turns.", MEMORY_RETRY_MS)
         }
 
     private suspend fun Raise<Refusal>.reserveTokens(
@@ -116,5 +134,6 @@
 
     private companion object {
         private const val STOPPING_RETRY_MS = 20L
+        private const val MEMORY_RETRY_MS = 500L
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -48,6 +48,7 @@
         } finally {
             context.ending = exchange.ending
             context.call?.reservation?.complete(usedTokens = 0)
+            context.call?.chain?.release()
             refundUnusedQuota(context)
             val elapsed = clock.elapsed() - context.startedAt
             metrics.record(context, elapsed)
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
@@ -8,6 +8,7 @@
 import org.chestnutloom.edge.crash.fingerprintOf
 import org.chestnutloom.edge.http.CallerExchange
 import org.chestnutloom.edge.http.CallerRequest
+import org.chestnutloom.edge.http.RequestBody
 import org.chestnutloom.edge.turn.TurnChain
 import org.chestnutloom.id.CallId
 import org.chestnutloom.id.TargetId
@@ -33,7 +34,7 @@
     val account: AccountSettings?,
     val deadline: Duration,
     val callerDeadline: Duration,
-    val body: ByteArray,
+    val body: RequestBody,
     val chain: TurnChain?,
     val reservation: Reservation?,
 ) {
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
@@ -2,11 +2,10 @@
 
 import arrow.core.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.EmptyHttpHeaders
-import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.CoroutineScope
@@ -47,7 +46,7 @@
         var isConnectionReusable = false
         try {
             call.runs++
-            val parts = connection.exchange(requestOf(call, target)) { isResponseTo(call, connection, it) }
+            val parts = connection.exchange(requestOf(call, target), call.body) { isResponseTo(call, connection, it) }
             val result = readResponse(call, target, connection, parts, onResponse)
             isConnectionReusable = result.isConnectionReusable
             if (result.outcome is AttemptResult.NotRun) call.runs--
@@ -98,22 +97,14 @@
     private fun requestOf(
         call: RoutedCall,
         target: Target,
-    ): FullHttpRequest {
+    ): HttpRequest {
         val timeLeft = call.callerDeadline - clock.elapsed()
         val headers = codec.targetHeaders(call.request, target.entry, call.account?.id, timeLeft)
-        if (call.body.isNotEmpty() ||
-            call.request.method in METHODS_WITH_BODY
-        ) {
-            headers.set("Content-Length", call.body.size)
+        if (!call.body.isEmpty || call.request.method in METHODS_WITH_BODY) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
         }
-        return DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            HttpMethod.valueOf(call.request.method),
-            call.request.target,
-            Unpooled.wrappedBuffer(call.body),
-            headers,
-            EmptyHttpHeaders.INSTANCE,
-        )
+        val method = HttpMethod.valueOf(call.request.method)
+        return DefaultHttpRequest(HttpVersion.HTTP_1_1, method, call.request.target, headers)
     }
 
     private suspend fun readResponse(
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -5,10 +5,10 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.ChannelInputShutdownEvent
-import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
@@ -68,12 +68,14 @@
         get() = isUsable && isRequestSent && exchange == null && context?.channel()?.isActive == true
 
     /**
-     * Sends [request] and returns its response parts; the last one is [ResponsePart.End] or [ResponsePart.Aborted].
+     * Sends [request] with [body], whose length the request states, and returns its response parts; the last one is
+     * [ResponsePart.End] or [ResponsePart.Aborted].
      *
      * @param matches returns whether a response belongs to this request; other responses are skipped
      */
     public fun exchange(
-        request: FullHttpRequest,
+        request: HttpRequest,
+        body: RequestBody,
         matches: (HttpResponse) -> Boolean,
     ): ReceiveChannel<ResponsePart> {
         val started = Exchange(matches)
@@ -82,13 +84,14 @@
         isRequestSent = false
         val channel = context?.channel()
         if (channel == null || !channel.isActive) {
-            request.release()
             fail("connection is closed")
             return started.parts
         }
-        channel.writeAndFlush(request).addListener { sent ->
-            if (sent.isSuccess) isRequestSent = true else failAndClose("request could not be written")
-        }
+        val writer =
+            RequestWriter(channel) { isSent ->
+                if (isSent) isRequestSent = true else failAndClose("request could not be written")
+            }
+        writer.write(request, body)
         return started.parts
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnFailure.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnFailure.kt
@@ -11,4 +11,10 @@
     public data class StoreUnavailable(
         public val cause: StoreFailure,
     ) : TurnFailure
+
+    /** The chain is larger than this gateway can ever hold. */
+    public data object TooLarge : TurnFailure
+
+    /** The chain does not fit beside those of the calls in progress. */
+    public data object NoMemory : TurnFailure
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
@@ -6,9 +6,6 @@
 import arrow.core.raise.either
 import arrow.core.right
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.async
-import kotlinx.coroutines.awaitAll
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.chestnutloom.common.log.event
@@ -36,6 +33,7 @@
     private val peers: TurnPeers,
     private val reachability: StoreReachability,
     private val clock: Clock,
+    private val memory: TurnMemory,
 ) {
     private val codec = CborCodec(TurnRecord.serializer())
     private val recent = TurnCache(RECENT_BYTES)
@@ -56,10 +54,13 @@
         either {
             val newest = load(last).bind()
             if (newest.account != account) raise(TurnFailure.NotFound)
-            val older = coroutineScope { newest.ancestors.map { async { load(it) } }.awaitAll() }
-            TurnChain(older.map { loaded -> loaded.bind() } + newest)
+            val loader = ChainLoader(memory, ::load)
+            loader.load(newest).bind()
         }
 
+    /** Returns the chain before the first turn of a program. */
+    internal fun emptyChain(): TurnChain = TurnChain(emptyList(), memory)
+
     /**
      * Writes [record] to the store, and again after failures, and returns whether the store has acknowledged it.
      *
@@ -110,7 +111,7 @@
     ): Long? = load(turn).getOrNull()?.takeIf { it.account == account }?.generatedTokens
 
     private suspend fun load(turn: CallId): Either<TurnFailure, TurnRecord> {
-        recent.get(turn)?.let { return it.right() }
+        (recent.get(turn) ?: memory.find(turn))?.let { return it.right() }
         val bytes = rows.read(turn).getOrElse { return findAtPeers(turn, it) } ?: return TurnFailure.NotFound.left()
         return decode(turn, bytes)
     }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/EdgeLinkHandlerSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/EdgeLinkHandlerSpec.kt
@@ -17,6 +17,7 @@
 import org.chestnutloom.edge.store.InMemoryRowStore
 import org.chestnutloom.edge.store.RowChange
 import org.chestnutloom.edge.store.RowStore
+import org.chestnutloom.edge.turn.TurnMemory
 import org.chestnutloom.edge.turn.TurnPeers
 import org.chestnutloom.edge.turn.TurnRows
 import org.chestnutloom.edge.turn.TurnStore
@@ -48,7 +49,13 @@
 class EdgeLinkHandlerSpec :
     DescribeSpec({
         fun TestScope.turnStore(store: RowStore) =
-            TurnStore(TurnRows(store, rowBytes = 65_536), TurnPeers { null }, { true }, VirtualClock(this))
+            TurnStore(
+                TurnRows(store, rowBytes = 65_536),
+                TurnPeers { null },
+                { true },
+                VirtualClock(this),
+                TurnMemory(1_000_000),
+            )
 
         fun TestScope.budgetAllocator(store: RowStore): BudgetAllocator {
             val holder = BudgetHolder(GatewayId("g1"), Incarnation("1"))
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/http/ScriptedConnection.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/http/ScriptedConnection.kt
@@ -2,7 +2,7 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
-import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
@@ -77,9 +77,11 @@
 
     private fun begin(exchange: ScriptedExchange): ReceiveChannel<ResponsePart> {
         val method = if (exchange.own.framing == MessageFraming.HEAD) HttpMethod.HEAD else HttpMethod.POST
-        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/")
+        val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/")
         val parts =
-            connection.exchange(request) { it.headers().get(ScriptedMessage.ID_HEADER) == exchange.own.id }
+            connection.exchange(request, RequestBody(emptyList())) {
+                it.headers().get(ScriptedMessage.ID_HEADER) == exchange.own.id
+            }
         channel.releaseOutbound()
         return parts
     }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/TurnDurabilitySpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/TurnDurabilitySpec.kt
@@ -74,7 +74,14 @@
     ) {
         val job = Job(test.backgroundScope.coroutineContext[Job])
         val scope = CoroutineScope(test.backgroundScope.coroutineContext + job)
-        val turns = TurnStore(TurnRows(store, 65_536), TurnPeers { findAtOthers(name, it) }, { true }, clock)
+        val turns =
+            TurnStore(
+                TurnRows(store, 65_536),
+                TurnPeers { findAtOthers(name, it) },
+                { true },
+                clock,
+                TurnMemory(1_000_000),
+            )
     }
 
     private suspend fun findAtOthers(
