Tell a run that ended behind a cut from the one in its place

Cause: a process in place of the one that was killed was told by the time since the last bytes had arrived, which behind a cut says nothing about when they were sent.

Change: the time counts from the sending of the request, and beyond the time of a restart a connection that the same run had accepted is asked for the target's health. Responses with a length or chunks need none of it.

Responses without a length whose head takes over a second are lost if no other connection to the target is there.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CompletionCheck.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CompletionCheck.kt
@@ -1,6 +1,7 @@
 package org.chestnutloom.edge.call
 
 import org.chestnutloom.edge.http.ResponseFraming
+import org.chestnutloom.edge.target.RunEvidence
 import org.chestnutloom.edge.target.Target
 import org.chestnutloom.edge.target.TargetLiveness
 
@@ -14,27 +15,29 @@
 internal class CompletionCheck(
     private val liveness: TargetLiveness,
 ) {
-    /** Returns whether the body that [target] ended with [evidence] is complete. */
+    /** Returns whether the body that the run of [target] shown by [run] ended with [evidence] is complete. */
     suspend fun check(
         target: Target,
         evidence: BodyEvidence,
+        run: RunEvidence,
     ): BodyEnd {
         if (evidence.framing == ResponseFraming.NO_BODY) return BodyEnd.Complete(CompletionEvidence.NO_BODY)
         if (evidence.content == ContentEnd.INSIDE_EVENT) return BodyEnd.Broken("stream ended inside an event")
         return when (evidence.framing) {
             ResponseFraming.LENGTH -> BodyEnd.Complete(CompletionEvidence.LENGTH)
             ResponseFraming.CHUNKS -> BodyEnd.Complete(CompletionEvidence.LAST_CHUNK)
-            else -> checkConnectionEnd(target, evidence)
+            else -> checkConnectionEnd(target, evidence, run)
         }
     }
 
     private suspend fun checkConnectionEnd(
         target: Target,
         evidence: BodyEvidence,
+        run: RunEvidence,
     ): BodyEnd =
         when {
             evidence.content == ContentEnd.NO_EVENT -> BodyEnd.Broken("connection was closed before the first event")
-            liveness.isAlive(target, evidence.lastBytesAt) -> BodyEnd.Complete(CompletionEvidence.TARGET_ALIVE)
+            liveness.isAlive(target, run) -> BodyEnd.Complete(CompletionEvidence.TARGET_ALIVE)
             else -> BodyEnd.Broken("connection was closed, and the target may have been killed")
         }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
@@ -176,9 +176,9 @@
         end: ResponsePart.End,
         content: BodyContent,
     ): BodyEnd {
-        val evidence = BodyEvidence(end.framing, content.end, end.lastBytesAt)
+        val evidence = BodyEvidence(end.framing, content.end)
         call.bodyEvidence = evidence
-        val bodyEnd = check.check(target, evidence)
+        val bodyEnd = check.check(target, evidence, checkNotNull(call.runWatch))
         val isReset = evidence.framing == ResponseFraming.CONNECTION && connection.isReset
         return if (isReset) BodyEnd.Broken("connection was reset behind its end") else bodyEnd
     }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
@@ -9,6 +9,7 @@
 import org.chestnutloom.edge.http.CallerExchange
 import org.chestnutloom.edge.http.CallerRequest
 import org.chestnutloom.edge.http.RequestBody
+import org.chestnutloom.edge.target.RunWatch
 import org.chestnutloom.edge.turn.TurnChain
 import org.chestnutloom.id.CallId
 import org.chestnutloom.id.TargetId
@@ -51,6 +52,9 @@
     /** The target to which the request was sent last. */
     var lastTarget: TargetId? = null
 
+    /** Watches the run of the target that serves the current attempt; null before the first one. */
+    var runWatch: RunWatch? = null
+
     /** What the body of the last response that ended shows about its end, or null if none has ended. */
     var bodyEvidence: BodyEvidence? = null
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/TargetAttempts.kt
@@ -18,6 +18,7 @@
 import org.chestnutloom.edge.http.ConnectFailure
 import org.chestnutloom.edge.http.HttpConnection
 import org.chestnutloom.edge.http.ResponsePart
+import org.chestnutloom.edge.target.RunWatch
 import org.chestnutloom.edge.target.Target
 import org.chestnutloom.id.CallId
 import org.chestnutloom.time.Clock
@@ -44,6 +45,8 @@
         val connection =
             target.pool.acquire().getOrElse { return connectFailed(it) }
         var isConnectionReusable = false
+        val watch = RunWatch(target, call.service.healthPath, clock.elapsed(), clock, scope)
+        call.runWatch = watch
         try {
             call.runs++
             val parts = connection.exchange(requestOf(call, target), call.body) { isResponseTo(call, connection, it) }
@@ -52,6 +55,7 @@
             if (result.outcome is AttemptResult.NotRun) call.runs--
             return result.outcome
         } finally {
+            watch.close()
             releaseConnection(target, connection, isConnectionReusable)
         }
     }
@@ -120,6 +124,7 @@
         return when (first) {
             is ResponsePart.Head -> {
                 onResponse()
+                call.runWatch?.headReceived(first.framing)
                 val head = codec.responseHead(first.response)
                 if (head.isTargetLeaving) markLeaving(target)
                 relayResponse(call, target, connection, head, parts)
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
@@ -60,6 +60,16 @@
             response
         }
 
+    /** Opens a connection that does not belong to the pool. */
+    internal suspend fun open(): Either<ConnectFailure, HttpConnection> = connector.connect(address)
+
+    /** Takes an idle connection that was open at [time] at the latest out of the pool, or returns null. */
+    internal fun takeOpenedBefore(time: Duration): HttpConnection? {
+        val connection = idle.firstOrNull { it.openedAt <= time && it.isReusable } ?: return null
+        idle.remove(connection)
+        return connection
+    }
+
     /** Opens a connection for a later request, and returns whether the server accepted it. */
     public suspend fun addIdle(): Boolean {
         val connection = connector.connect(address).getOrElse { return false }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/HttpConnection.kt
@@ -44,8 +44,9 @@
     /** Whether no request is being sent. */
     private var isRequestSent = true
 
-    /** Monotonic time at which bytes arrived last, or reading was resumed after them. */
-    private var lastBytesAt: Duration = clock.elapsed()
+    /** Monotonic time at which the connection was open at the latest. */
+    internal var openedAt: Duration = clock.elapsed()
+        private set
 
     /** Monotonic time at which the last exchange completed. */
     internal var idleSince: Duration = clock.elapsed()
@@ -95,6 +96,14 @@
         return started.parts
     }
 
+    /** Sends [request], which has no body, behind the one in progress; its response is not read. */
+    internal fun pipeline(request: HttpRequest) {
+        isUsable = false
+        val channel = context?.channel() ?: return
+        RequestWriter(channel) { isSent -> if (!isSent) failAndClose("request could not be written") }
+            .write(request, RequestBody(emptyList()))
+    }
+
     /** Whether the server has reset the connection, also behind the end of a response that ends with it. */
     internal val isReset: Boolean
         get() = (context?.channel() as? ResetAwareSocketChannel)?.isReset == true
@@ -106,7 +115,6 @@
 
     /** Pauses or resumes reading from the server, for backpressure. */
     internal fun setReading(isEnabled: Boolean) {
-        if (isEnabled) lastBytesAt = clock.elapsed()
         context?.channel()?.config()?.isAutoRead = isEnabled
     }
 
@@ -115,7 +123,6 @@
      * have arrived without the head of its response, and closes the connection when no exchange is active.
      */
     internal fun acceptsBytes(bytes: Int): Boolean {
-        lastBytesAt = clock.elapsed()
         val active = exchange ?: return false.also { closeAfterExtraBytes(bytes) }
         if (active.hasHead) return true
         active.bytesBeforeHead += bytes
@@ -134,6 +141,11 @@
         context = ctx
     }
 
+    override fun channelActive(ctx: ChannelHandlerContext) {
+        openedAt = clock.elapsed()
+        ctx.fireChannelActive()
+    }
+
     override fun channelRead0(
         ctx: ChannelHandlerContext,
         message: HttpObject,
@@ -181,7 +193,7 @@
         if (!active.isDelimited) isUsable = false
         keepAliveTimeout = keepAliveTimeoutOf(response)
         active.hasHead = true
-        active.parts.trySend(ResponsePart.Head(response))
+        active.parts.trySend(ResponsePart.Head(response, active.framing))
     }
 
     private fun framingOf(response: HttpResponse): ResponseFraming =
@@ -201,7 +213,7 @@
         lastFraming = active.framing
         idleSince = clock.elapsed()
         completedExchanges++
-        active.parts.trySend(ResponsePart.End(active.framing, lastBytesAt))
+        active.parts.trySend(ResponsePart.End(active.framing))
         active.parts.close()
         if (decoder.unreadBytes > 0) closeAfterExtraBytes(decoder.unreadBytes)
     }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponsePart.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ResponsePart.kt
@@ -1,13 +1,17 @@
 package org.chestnutloom.edge.http
 
 import io.netty.handler.codec.http.HttpResponse
-import kotlin.time.Duration
 
 /** A part of an HTTP response. */
 public sealed interface ResponsePart {
-    /** The status line and headers. */
+    /**
+     * The status line and headers.
+     *
+     * @property framing how the end of the response will be recognized
+     */
     public class Head(
         public val response: HttpResponse,
+        public val framing: ResponseFraming,
     ) : ResponsePart
 
     /** A chunk of the body. */
@@ -19,11 +23,9 @@
      * The response has ended.
      *
      * @property framing how its end was recognized
-     * @property lastBytesAt when its last bytes arrived, or reading was resumed after them, on the monotonic clock
      */
     public data class End(
         public val framing: ResponseFraming,
-        public val lastBytesAt: Duration,
     ) : ResponsePart
 
     /** The connection was closed or sent invalid HTTP before the response was complete. */
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/ListeningProbe.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/ListeningProbe.kt
@@ -6,10 +6,10 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import org.chestnutloom.common.log.event
+import org.chestnutloom.edge.target.RunWatch.Companion.REPLACEMENT_TIME
 import org.chestnutloom.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
 
@@ -18,8 +18,9 @@
  *
  * A process that dies closes its sockets one after the other, so the connection is opened only after a pause. Another
  * process that listens at the same address within that pause can be told only once the store has announced it. One that
- * may have come there earlier is told by the time that has passed since the target last sent something, whether its
- * connection ended late or this gateway stood still.
+ * may have come there earlier is told by the time that has passed since the run of the target is known to have been there,
+ * whether its connection ended late or this gateway stood still; where that time is too long, by a connection that the run
+ * accepted before and still serves.
  *
  * @property connect opens a connection for later requests to the target; returns whether the target accepted it
  */
@@ -34,17 +35,32 @@
 
     override suspend fun isAlive(
         target: Target,
-        lastBytesAt: Duration,
+        evidence: RunEvidence,
     ): Boolean {
-        val acceptedAt = joinable.getOrPut(target) { start(target, lastBytesAt) }.await() ?: return false
-        return acceptedAt - lastBytesAt <= REPLACEMENT_TIME
+        evidence.ask()
+        val acceptedAt = joinable.getOrPut(target) { start(target) }.await() ?: return false
+        if (acceptedAt - evidence.runningAt <= REPLACEMENT_TIME) return true
+        // The reset that a run which has ended answers with arrives no later than that connection was accepted.
+        delay(JOIN_PERIOD)
+        logVouched(target, acceptedAt, evidence)
+        return evidence.isConfirmed
     }
 
-    /** Starts a probe whose result is the time at which the target accepted a connection, or null. */
-    private fun start(
+    private fun logVouched(
         target: Target,
-        lastBytesAt: Duration,
-    ): Deferred<Duration?> =
+        acceptedAt: Duration,
+        evidence: RunEvidence,
+    ) {
+        logger.event(
+            "target_vouched",
+            "target" to target.entry.id,
+            "confirmed" to evidence.isConfirmed,
+            "unknown_ms" to (acceptedAt - evidence.runningAt).inWholeMilliseconds,
+        )
+    }
+
+    /** Starts a probe whose result is the time at which the target accepted a connection, or null. */
+    private fun start(target: Target): Deferred<Duration?> =
         scope.async {
             val startedAt = clock.elapsed()
             // A target that leaves may serve on after its row was removed; only a removal meanwhile may be another run.
@@ -60,7 +76,6 @@
                 "target" to target.entry.id,
                 "listening" to isListening,
                 "was_removed" to wasRemoved,
-                "silent_ms" to (startedAt - lastBytesAt).inWholeMilliseconds,
                 "took_ms" to (endedAt - startedAt).inWholeMilliseconds,
             )
             if (isListening) endedAt else null
@@ -86,8 +101,5 @@
 
         /** The time after which a process that closed a connection because it dies no longer listens. */
         private val PAUSE = 20.milliseconds
-
-        /** Less than the time after which another process listens at the address of one that ended. */
-        private val REPLACEMENT_TIME = 1.seconds
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/Target.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/Target.kt
@@ -23,6 +23,9 @@
     public var isLeaving: Boolean = false
         internal set
 
+    /** Whether a response of the target had neither a length nor chunks, so that later ones may have none either. */
+    internal var sendsUnframed: Boolean = false
+
     /** The number of requests that this gateway has in flight at the target. */
     public var inFlight: Int = 0
         internal set
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/TargetLiveness.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/TargetLiveness.kt
@@ -1,16 +1,15 @@
 package org.chestnutloom.edge.target
 
-import kotlin.time.Duration
-
 /** Tells whether a target has outlived the end of one of its connections. */
 internal fun interface TargetLiveness {
     /**
-     * Returns whether this run of [target] shows that it still runs; false if that is not known.
+     * Returns whether the run of [target] that served the connection shows that it still runs; false if that is not
+     * known.
      *
-     * @param lastBytesAt when the target last showed on the connection that it ran, on the monotonic clock
+     * @param evidence what the exchange on the connection shows about that run
      */
     suspend fun isAlive(
         target: Target,
-        lastBytesAt: Duration,
+        evidence: RunEvidence,
     ): Boolean
 }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/target/ListeningProbeSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/target/ListeningProbeSpec.kt
@@ -21,6 +21,20 @@
 
 private val ID = TargetId("i-1")
 
+private class FixedEvidence(
+    override val runningAt: Duration,
+    private val isConfirmedOnceAsked: Boolean,
+) : RunEvidence {
+    private var isAsked = false
+
+    override val isConfirmed: Boolean
+        get() = isAsked && isConfirmedOnceAsked
+
+    override fun ask() {
+        isAsked = true
+    }
+}
+
 /** A probe of one target that listens until [listensUntilMs], in virtual time. */
 @OptIn(ExperimentalCoroutinesApi::class)
 private class ProbeFixture(
@@ -41,8 +55,9 @@
 
     suspend fun isAlive(
         target: Target,
-        lastBytesAtMs: Long = test.currentTime,
-    ): Boolean = probe.isAlive(target, lastBytesAtMs.milliseconds)
+        runningAtMs: Long = test.currentTime,
+        isConfirmed: Boolean = false,
+    ): Boolean = probe.isAlive(target, FixedEvidence(runningAtMs.milliseconds, isConfirmed))
 
     fun register(
         startedAtEpochMs: Long,
@@ -98,8 +113,18 @@
                     val fixture = ProbeFixture(this, loop)
                     val target = fixture.register(1)
                     delay(2.seconds)
-                    fixture.isAlive(target, lastBytesAtMs = 900) shouldBe false
-                    fixture.isAlive(target, lastBytesAtMs = 1_100) shouldBe true
+                    fixture.isAlive(target, runningAtMs = 900) shouldBe false
+                    fixture.isAlive(target, runningAtMs = 1_100) shouldBe true
+                }
+            }
+
+            // Guards against a whole response that is broken off as it took longer than a restart.
+            it("vouches for a target that still serves a connection which it accepted before") {
+                runTest {
+                    val fixture = ProbeFixture(this, loop)
+                    val target = fixture.register(1)
+                    delay(2.seconds)
+                    fixture.isAlive(target, runningAtMs = 900, isConfirmed = true) shouldBe true
                 }
             }
 
