Handle SIGHUP from the first line of a process on

Cause: the handler of SIGHUP was installed once the node had started; until then the JVM's own ends the process.

Change: ReloadSignal is installed first, and keeps a signal until there is something to reload.

--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/DaemonProcess.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/DaemonProcess.kt
@@ -8,7 +8,6 @@
 import org.chestnutloom.common.log.warnEvent
 import org.chestnutloom.daemon.log.DaemonLogConfigurator
 import org.slf4j.LoggerFactory
-import sun.misc.Signal
 import kotlin.system.exitProcess
 
 /** The exit code when the node cannot be started. */
@@ -24,13 +23,14 @@
 internal fun runDaemon(
     parser: LaunchParser,
     args: List<String>,
+    reloadSignal: ReloadSignal,
 ): Nothing {
     DaemonLogConfigurator.select()
     // Otherwise the HTTP server aborts open streams on SIGTERM before the node has completed them.
     System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     val config = parser.parse(args, System.getenv()).fold({ exitWithUsageErrors(it) }, { it })
     val daemon = startOrExit(config)
-    onReloadSignal { daemon.reload() }
+    reloadSignal.onReload { daemon.reload() }
     Runtime.getRuntime().addShutdownHook(Thread { stopAndHalt(daemon) })
     runBlocking { awaitCancellation() }
 }
@@ -51,11 +51,6 @@
         exitProcess(EXIT_START_FAILED)
     }
 
-/** Runs [reload] on SIGHUP, which would otherwise terminate the process. */
-private fun onReloadSignal(reload: () -> Unit) {
-    Signal.handle(Signal("HUP")) { reload() }
-}
-
 /** Stops on SIGTERM or SIGINT, then halts: on a normal exit the JVM would report the signal in its exit code. */
 private fun stopAndHalt(daemon: Daemon) {
     val exitCode =
--- a/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/Main.kt
+++ b/chestnutloom-daemon/src/main/kotlin/org/chestnutloom/daemon/Main.kt
@@ -7,6 +7,8 @@
 
 /** Runs a gateway, a sidecar or an edge gateway until the process receives SIGTERM or SIGINT. */
 public fun main(args: Array<String>) {
+    val reloadSignal = ReloadSignal()
+    reloadSignal.install()
     val parser =
         LaunchParser(
             { settings ->
@@ -40,5 +42,5 @@
                 }
             },
         )
-    runDaemon(parser, args.asList())
+    runDaemon(parser, args.asList(), reloadSignal)
 }
