Take no connection for a watch ahead of a head if another one is idle

Cause: a target that has once sent a response without a length got a connection more for each response whose head takes 0.6 s, although most have a length, and connections to targets are few.

Change: before the head, a connection is opened only if none to the target is idle; the idle one serves at the end.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/http/ConnectionPool.kt
@@ -60,6 +60,10 @@
             response
         }
 
+    /** Whether a connection waits for another request. */
+    internal val hasIdle: Boolean
+        get() = idle.any { it.isReusable }
+
     /** Opens a connection that does not belong to the pool. */
     internal suspend fun open(): Either<ConnectFailure, HttpConnection> = connector.connect(address)
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/RunWatch.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/RunWatch.kt
@@ -30,16 +30,17 @@
     private val scope: CoroutineScope,
 ) : RunEvidence {
     private var witness: RunWitness? = null
-    private var job: Job? = null
 
-    override val runningAt: Duration
-        get() = maxOf(sentAt, witness?.answeredAt ?: sentAt, answeredAtEarlier)
+    /** The witness that was asked at the end of the response. */
+    private var asked: RunWitness? = null
 
-    /** The latest time that connections which are no longer used have shown. */
+    /** The latest time that witnesses which are no longer used have shown. */
     private var answeredAtEarlier = sentAt
+    private var isUnframed = false
+    private var job: Job? = null
 
-    /** The witness that was asked at the end of the response. */
-    private var asked: RunWitness? = null
+    override val runningAt: Duration
+        get() = maxOf(answeredAtEarlier, witness?.answeredAt ?: answeredAtEarlier)
 
     override val isConfirmed: Boolean
         get() = asked?.isIntact == true
@@ -52,6 +53,7 @@
     fun headReceived(framing: ResponseFraming) {
         if (framing != ResponseFraming.CONNECTION) return stop()
         target.sendsUnframed = true
+        isUnframed = true
         start()
     }
 
@@ -86,7 +88,8 @@
 
     private suspend fun refresh(current: RunWitness?) {
         when {
-            current == null -> openWitness()
+            // Without a head, the response most likely has a length, so that this takes no connection if it can do without.
+            current == null -> if (isUnframed || !target.pool.hasIdle) openWitness()
             // The target may be busy for a while.
             current.isWaiting -> return
             current.isUsable -> current.ask()
