Read a turn once for all calls that continue it

Cause: each call read the turn from the store for itself, which takes several times its size until it is decoded, and nothing bounded how many turns were read at the same time. The bound on chains counts turns only once they have been read.

Change: calls that wait for the same turn share one read, and of long turns only so many are read together as make 6 MB.

TurnReadsSpec holds both bounds, and that short turns are read together as before.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
@@ -37,6 +37,7 @@
 ) {
     private val codec = CborCodec(TurnRecord.serializer())
     private val recent = TurnCache(RECENT_BYTES)
+    private val reads = TurnReads(::read)
 
     /** The number of turns whose responses wait for the store. */
     public var unsavedCount: Int = 0
@@ -112,6 +113,10 @@
 
     private suspend fun load(turn: CallId): Either<TurnFailure, TurnRecord> {
         (recent.get(turn) ?: memory.find(turn))?.let { return it.right() }
+        return reads.read(turn)
+    }
+
+    private suspend fun read(turn: CallId): Either<TurnFailure, TurnRecord> {
         val bytes = rows.read(turn).getOrElse { return findAtPeers(turn, it) } ?: return TurnFailure.NotFound.left()
         return decode(turn, bytes)
     }
--- /dev/null
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/TurnReadsSpec.kt
@@ -0,0 +1,127 @@
+package org.chestnutloom.edge.turn
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.kotest.core.spec.IsolationMode
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.chestnutloom.id.CallId
+import org.chestnutloom.id.TargetId
+import kotlin.time.Duration.Companion.milliseconds
+
+private val READ_TIME = 10.milliseconds
+
+/** A store of turns of [inputBytes] each. */
+private class SlowStore(
+    var inputBytes: Int,
+) {
+    val read = ArrayList<CallId>()
+    var missing: CallId? = null
+    var mostTogether = 0
+    private var together = 0
+    val reads = TurnReads(::read)
+
+    private suspend fun read(id: CallId): Either<TurnFailure, TurnRecord> {
+        read += id
+        mostTogether = maxOf(mostTogether, ++together)
+        try {
+            delay(READ_TIME)
+        } finally {
+            together--
+        }
+        if (id == missing) return TurnFailure.NotFound.left()
+        return TurnRecord(id, null, emptyList(), ByteArray(inputBytes), ByteArray(0), TargetId("i-1")).right()
+    }
+
+    /** Reads [count] different turns at the same time. */
+    suspend fun readMany(
+        test: TestScope,
+        count: Int,
+        name: String,
+    ): List<Either<TurnFailure, TurnRecord>> =
+        (1..count).map { test.async { reads.read(CallId("$name-$it")) } }.awaitAll()
+}
+
+class TurnReadsSpec :
+    DescribeSpec({
+        isolationMode = IsolationMode.InstancePerLeaf
+        val id = CallId("turn")
+
+        describe("a turn that several calls read at the same time") {
+            // Guards against a heap that is exhausted by many calls that continue one long turn.
+            it("is read once") {
+                runTest {
+                    val store = SlowStore(inputBytes = 2_500_000)
+                    val results = (1..40).map { async { store.reads.read(id) } }.awaitAll()
+                    results.all { it.isRight() } shouldBe true
+                    store.read shouldHaveSize 1
+                }
+            }
+
+            it("is read again for the others if the first call is cancelled") {
+                runTest {
+                    val store = SlowStore(inputBytes = 10)
+                    val first = launch { store.reads.read(id) }
+                    val others = (1..3).map { async { store.reads.read(id) } }
+                    delay(READ_TIME / 2)
+                    first.cancel()
+                    others.awaitAll().all { it.isRight() } shouldBe true
+                    store.read shouldHaveSize 2
+                }
+            }
+
+            it("is missing for all of them, and read again later") {
+                runTest {
+                    val store = SlowStore(inputBytes = 10)
+                    store.missing = id
+                    val results = (1..3).map { async { store.reads.read(id) } }.awaitAll()
+                    results.all { it == TurnFailure.NotFound.left() } shouldBe true
+                    store.missing = null
+                    store.reads.read(id).isRight() shouldBe true
+                }
+            }
+        }
+
+        describe("different turns that are read at the same time") {
+            // Guards against a heap that is exhausted by calls that continue different long turns.
+            it("are read a few at a time if they are long") {
+                runTest {
+                    val store = SlowStore(inputBytes = 2_500_000)
+                    store.readMany(this, count = 1, name = "first")
+                    store.readMany(this, count = 30, name = "next").all { it.isRight() } shouldBe true
+                    store.mostTogether shouldBeLessThanOrEqual 2
+                }
+            }
+
+            it("are read all together if they are short") {
+                runTest {
+                    val store = SlowStore(inputBytes = 17_000)
+                    store.readMany(this, count = 40, name = "first")
+                    val startedAt = currentTime
+                    store.readMany(this, count = 200, name = "next")
+                    currentTime - startedAt shouldBe READ_TIME.inWholeMilliseconds
+                }
+            }
+
+            it("do not wait for calls that are cancelled") {
+                runTest {
+                    val store = SlowStore(inputBytes = 7_000_000)
+                    store.readMany(this, count = 1, name = "first")
+                    val left = (1..5).map { launch { store.reads.read(CallId("left-$it")) } }
+                    delay(READ_TIME / 2)
+                    left.forEach { it.cancel() }
+                    store.readMany(this, count = 2, name = "next").all { it.isRight() } shouldBe true
+                }
+            }
+        }
+    })
