Name the connection that asks for a target's health after what it does

Cause: RunWitness and target_vouched were words of our own.

Change: HealthConnection and target_run_checked; the watch has one function that ends it.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/RunWitness.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/HealthConnection.kt
@@ -15,7 +15,7 @@
 import kotlin.time.Duration
 
 /** A connection that one run of a target accepted, and that carries only requests for its health. */
-internal class RunWitness(
+internal class HealthConnection(
     private val connection: HttpConnection,
     private val address: PeerAddress,
     private val healthPath: String,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/ListeningProbe.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/ListeningProbe.kt
@@ -42,17 +42,17 @@
         if (acceptedAt - evidence.runningAt <= REPLACEMENT_TIME) return true
         // The reset that a run which has ended answers with arrives no later than that connection was accepted.
         delay(JOIN_PERIOD)
-        logVouched(target, acceptedAt, evidence)
+        logRunCheck(target, acceptedAt, evidence)
         return evidence.isConfirmed
     }
 
-    private fun logVouched(
+    private fun logRunCheck(
         target: Target,
         acceptedAt: Duration,
         evidence: RunEvidence,
     ) {
         logger.event(
-            "target_vouched",
+            "target_run_checked",
             "target" to target.entry.id,
             "confirmed" to evidence.isConfirmed,
             "unknown_ms" to (acceptedAt - evidence.runningAt).inWholeMilliseconds,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/RunWatch.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/RunWatch.kt
@@ -29,18 +29,18 @@
     private val clock: Clock,
     private val scope: CoroutineScope,
 ) : RunEvidence {
-    private var witness: RunWitness? = null
+    private var health: HealthConnection? = null
 
-    /** The witness that was asked at the end of the response. */
-    private var asked: RunWitness? = null
+    /** The health connection that was asked at the end of the response. */
+    private var asked: HealthConnection? = null
 
-    /** The latest time that witnesses which are no longer used have shown. */
+    /** The latest time that health connections which are no longer used have shown. */
     private var answeredAtEarlier = sentAt
     private var isUnframed = false
     private var job: Job? = null
 
     override val runningAt: Duration
-        get() = maxOf(answeredAtEarlier, witness?.answeredAt ?: answeredAtEarlier)
+        get() = maxOf(answeredAtEarlier, health?.answeredAt ?: answeredAtEarlier)
 
     override val isConfirmed: Boolean
         get() = asked?.isIntact == true
@@ -51,7 +51,7 @@
 
     /** Records the framing of the response, whose head has arrived. */
     fun headReceived(framing: ResponseFraming) {
-        if (framing != ResponseFraming.CONNECTION) return stop()
+        if (framing != ResponseFraming.CONNECTION) return close()
         target.sendsUnframed = true
         isUnframed = true
         start()
@@ -59,19 +59,17 @@
 
     override fun ask() {
         if (healthPath == null || clock.elapsed() - runningAt < ASK_AFTER) return
-        val usable = witness?.takeIf { it.isUsable || it.isWaiting } ?: takePooled()
+        val usable = health?.takeIf { it.isUsable || it.isWaiting } ?: takePooled()
         usable?.askAgain()
         asked = usable
     }
 
-    private fun takePooled(): RunWitness? = target.pool.takeOpenedBefore(runningAt + REPLACEMENT_TIME)?.let(::use)
+    private fun takePooled(): HealthConnection? = target.pool.takeOpenedBefore(runningAt + REPLACEMENT_TIME)?.let(::use)
 
-    /** Ends the watch. */
-    fun close() = stop()
-
-    private fun stop() {
+    /** Ends the watch and closes its connection. */
+    fun close() {
         job?.cancel()
-        witness?.close()
+        health?.close()
     }
 
     private fun start() {
@@ -80,35 +78,35 @@
             scope.launch {
                 delay(sentAt + INTERVAL - clock.elapsed())
                 while (true) {
-                    refresh(witness)
+                    refresh(health)
                     delay(INTERVAL)
                 }
             }
     }
 
-    private suspend fun refresh(current: RunWitness?) {
+    private suspend fun refresh(current: HealthConnection?) {
         when {
             // Without a head, the response most likely has a length, so that this takes no connection if it can do without.
-            current == null -> if (isUnframed || !target.pool.hasIdle) openWitness()
+            current == null -> if (isUnframed || !target.pool.hasIdle) openHealthConnection()
             // The target may be busy for a while.
             current.isWaiting -> return
             current.isUsable -> current.ask()
-            else -> openWitness()
+            else -> openHealthConnection()
         }
     }
 
-    private suspend fun openWitness() {
+    private suspend fun openHealthConnection() {
         if (clock.elapsed() - runningAt > REPLACEMENT_TIME) return
         val connection = target.pool.open().getOrElse { return }
         if (connection.openedAt - runningAt > REPLACEMENT_TIME) return connection.close()
         use(connection)
     }
 
-    private fun use(connection: HttpConnection): RunWitness {
+    private fun use(connection: HttpConnection): HealthConnection {
         answeredAtEarlier = runningAt
-        witness?.close()
+        health?.close()
         val address = target.entry.address
-        return RunWitness(connection, address, checkNotNull(healthPath), clock, scope).also { witness = it }
+        return HealthConnection(connection, address, checkNotNull(healthPath), clock, scope).also { health = it }
     }
 
     companion object {
