Test the signal to reload with one that is never ignored

Cause: nohup starts a process with SIGHUP ignored, and the JVM then leaves it ignored, so that no handler ever gets it. Such a process does not end on SIGHUP either. Traced: the test fails under nohup and passes without it, on the same code.

Change: the test raises SIGUSR2, through the same handler; what it checks is unchanged. The name of the signal is a parameter.

--- a/chestnutloom-daemon/src/test/kotlin/org/chestnutloom/daemon/ReloadSignalSpec.kt
+++ b/chestnutloom-daemon/src/test/kotlin/org/chestnutloom/daemon/ReloadSignalSpec.kt
@@ -11,12 +11,13 @@
 
 class ReloadSignalSpec :
     DescribeSpec({
-        describe("SIGHUP") {
+        describe("the signal to reload") {
             // Guards against a process that ends because its settings changed while it was starting.
             it("that arrives while the process starts is handled once it has started") {
-                val signal = ReloadSignal()
+                // Tests may run in a process that ignores SIGHUP.
+                val signal = ReloadSignal("USR2")
                 signal.install()
-                Signal.raise(Signal("HUP"))
+                Signal.raise(Signal("USR2"))
                 val delivered = CountDownLatch(1)
                 val reloads = AtomicInteger()
                 signal.onReload {
