Share a turn between calls only if it is the same record

What callers could have seen: the input and output of another account's turn in what their target gets, if both accounts used the same attempt id.

Cause: TurnMemory kept one record for each id and gave it out in place of the one that a call had loaded and checked for its account.

Change: records are counted by identity. Calls still share a turn, since a turn that is held is used before it is read again.

Measured: the new test of ChainLoaderSpec failed before, with the record of the other account, and passes now.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/ChainLoader.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/ChainLoader.kt
@@ -31,7 +31,7 @@
                 TurnChain(older + last, memory)
             }.onRight { chain = it }
         } finally {
-            if (chain == null) holding.forEach { memory.release(it.id) }
+            if (chain == null) holding.forEach { memory.release(it) }
         }
     }
 
@@ -48,8 +48,7 @@
     private fun Raise<TurnFailure>.hold(record: TurnRecord): TurnRecord {
         chainBytes += record.sizeBytes
         largestBytes = maxOf(largestBytes, record.sizeBytes)
-        val held = memory.tryHold(record, chainBytes)
-        if (held != null) return held.also(holding::add)
+        if (memory.tryHold(record, chainBytes)) return record.also(holding::add)
         raise(if (memory.canEverHold(chainBytes)) TurnFailure.NoMemory else TurnFailure.TooLarge)
     }
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnChain.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnChain.kt
@@ -27,6 +27,6 @@
     internal fun release() {
         if (isReleased) return
         isReleased = true
-        turns.forEach { memory.release(it.id) }
+        turns.forEach { memory.release(it) }
     }
 }
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/ChainLoaderSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/ChainLoaderSpec.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runTest
 import org.chestnutloom.id.CallId
+import org.chestnutloom.id.ClientAccountId
 import org.chestnutloom.id.TargetId
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -33,9 +34,13 @@
     var loading = 0
     var mostLoading = 0
 
-    suspend fun chain(): Either<TurnFailure, TurnChain> = ChainLoader(memory, ::load).load(newest)
+    suspend fun chain(): Either<TurnFailure, TurnChain> =
+        ChainLoader(memory, ::load).load(
+            memory.find(newest.id) ?: newest,
+        )
 
     private suspend fun load(id: CallId): Either<TurnFailure, TurnRecord> {
+        memory.find(id)?.let { return it.right() }
         mostLoading = maxOf(mostLoading, ++loading)
         delay(10.milliseconds)
         loading--
@@ -89,6 +94,25 @@
                 }
             }
 
+            // Guards against the turn of another account with the same id in the body of a request.
+            it("has its own turn, whatever turn with the same id another call holds") {
+                runTest {
+                    val memory = TurnMemory(CAPACITY_BYTES)
+                    val id = CallId("same")
+                    val records =
+                        listOf("a", "b").map {
+                            TurnRecord(id, ClientAccountId(it), emptyList(), ByteArray(9), ByteArray(0), TargetId("i"))
+                        }
+                    val chains = records.map { ChainLoader(memory) { error("no other") }.load(it).getOrNull()!! }
+                    chains.zip(records).forEach { (chain, record) ->
+                        chain.turns.single() shouldBeSameInstanceAs record
+                    }
+                    chains.forEach { it.release() }
+                    memory.heldBytes shouldBe 0
+                    memory.find(id) shouldBe null
+                }
+            }
+
             // Guards against memory that a chain takes for good after one of its turns could not be read.
             it("holds nothing if one of its turns cannot be loaded") {
                 runTest {
