Move the bounds on memory out of the node

Change: EdgeMemory divides the heap and registers the gauges of its parts. Nothing else changes; nothing was measured.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -48,7 +48,6 @@
 import org.chestnutloom.edge.fleet.QuotaRequest
 import org.chestnutloom.edge.fleet.RelayingRowStore
 import org.chestnutloom.edge.fleet.withAppliedWork
-import org.chestnutloom.edge.http.BodyMemory
 import org.chestnutloom.edge.http.CallerHandler
 import org.chestnutloom.edge.http.ConnectionPool
 import org.chestnutloom.edge.http.EdgeLoop
@@ -66,7 +65,6 @@
 import org.chestnutloom.edge.target.ListeningProbe
 import org.chestnutloom.edge.target.TargetDirectory
 import org.chestnutloom.edge.target.TargetFactory
-import org.chestnutloom.edge.turn.TurnMemory
 import org.chestnutloom.edge.turn.TurnRows
 import org.chestnutloom.edge.turn.TurnStore
 import org.chestnutloom.time.Clock
@@ -133,9 +131,9 @@
     private val quotaServer = QuotaServer(heartbeats.quotas, configurations, socket, loop.scope)
     private val links = PeerLinks(settings.self, clock, loop.scope)
     private val store = RelayingRowStore(ownStore, storeHealth, fleet, links)
-    private val turnMemory = TurnMemory(Runtime.getRuntime().maxMemory() / TURN_MEMORY_DIVISOR * TURN_MEMORY_FACTOR)
+    private val memory = EdgeMemory()
     private val turns =
-        TurnStore(TurnRows(store, settings.rowBytes), FleetTurnPeers(fleet, links), store, clock, turnMemory)
+        TurnStore(TurnRows(store, settings.rowBytes), FleetTurnPeers(fleet, links), store, clock, memory.turns)
     private val budgets =
         BudgetAllocator(
             BudgetRows(store),
@@ -147,9 +145,8 @@
     private val memberRegistry = MemberRegistry(store, self, memberCodec)
     private val shutdownDeadline = ShutdownDeadline()
     private val limits = IngressLimits { configurations.current?.limits ?: INITIAL_LIMITS }
-    private val bodyMemory = BodyMemory(Runtime.getRuntime().maxMemory() / BODY_MEMORY_DIVISOR)
-    private val ingress = IngressServer(settings.callerAddress, loop, callService(), limits, bodyMemory, clock)
-    private val health = IngressServer(settings.healthAddress, loop, healthHandler(), limits, bodyMemory, clock)
+    private val ingress = IngressServer(settings.callerAddress, loop, callService(), limits, memory.bodies, clock)
+    private val health = IngressServer(settings.healthAddress, loop, healthHandler(), limits, memory.bodies, clock)
     private var ingressPort: Int? = null
 
     override val isReady: Boolean
@@ -191,10 +188,7 @@
 
     private fun registerGauges() {
         scheduling.registerGauges()
-        metrics.gauge("chestnutloom.edge.bodies.bytes", bodyMemory) { it.reservedBytes.toDouble() }
-        metrics.gauge("chestnutloom.edge.bodies.refused", bodyMemory) { it.refusedCount.toDouble() }
-        metrics.gauge("chestnutloom.edge.chains.bytes", turnMemory) { it.heldBytes.toDouble() }
-        metrics.gauge("chestnutloom.edge.chains.refused", turnMemory) { it.refusedCount.toDouble() }
+        memory.registerGauges(metrics)
         metrics.gauge("chestnutloom.edge.turns.unsaved", turns) { it.unsavedCount.toDouble() }
         metrics.gauge("chestnutloom.edge.fleet.size", fleet) { it.size.toDouble() }
         metrics.gauge("chestnutloom.edge.fleet.unresponsive", fleet) { it.unresponsiveCount.toDouble() }
@@ -276,11 +270,6 @@
             ?.cacheTokens ?: DEFAULT_CACHE_TOKENS
 
     private companion object {
-        /** Each byte of a body is in memory up to three times while its request is read and forwarded. */
-        private const val BODY_MEMORY_DIVISOR = 6
-        private const val TURN_MEMORY_FACTOR = 3
-        private const val TURN_MEMORY_DIVISOR = 8
-
         private val CONNECT_TIMEOUT = 400.milliseconds
 
         /** The part of the grace period that remains for the last steps of a shutdown, after requests have ended. */
