Let the long turns of one account hold up no short ones

What callers could have seen, found by reading: after one read of a long turn, turns of all accounts were read a few at a time, each as long as the store takes, until 32 others had been read; and long turns behind a short newest one were all read together, which exhausts the heap.

Cause: the size of what is read was guessed from the largest of the last turns, whoever had sent them, or from the newest turn.

Change: a turn is stored with the sizes of the turns before it; the size of a newest one is estimated by those of its account. ChainLoader no longer has a bound of its own. Records without the sizes, of earlier builds, are read by the estimate.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/ResponseRelay.kt
@@ -245,6 +245,7 @@
             output = events.output(),
             target = target.entry.id,
             generatedTokens = tokensOf(call, events.eventCount),
+            ancestorBytes = chain.turns.map { it.sizeBytes },
         )
 
     private suspend fun collect(
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/ChainLoader.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/ChainLoader.kt
@@ -1,59 +1,55 @@
 package org.chestnutloom.edge.turn
 
 import arrow.core.Either
-import arrow.core.raise.Raise
+import arrow.core.flatMap
+import arrow.core.left
 import arrow.core.raise.either
+import arrow.core.right
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import org.chestnutloom.id.CallId
 
 /**
- * Loads the turns of one chain with [load], so many at a time as their size allows, and has [memory] hold them.
+ * Loads the turns of one chain, and has [memory] hold each of them as soon as it is there.
  *
- * Reading a turn takes several times its size, so that long turns must not all be read at once.
+ * @property load loads a turn whose size is about the given number of bytes, or not known
  */
 internal class ChainLoader(
     private val memory: TurnMemory,
-    private val load: suspend (CallId) -> Either<TurnFailure, TurnRecord>,
+    private val load: suspend (CallId, Int?) -> Either<TurnFailure, TurnRecord>,
 ) {
     private val holding = ArrayList<TurnRecord>()
     private var chainBytes = 0L
-    private var largestBytes = 1
 
     /** Returns the chain that ends with [newest]. */
     suspend fun load(newest: TurnRecord): Either<TurnFailure, TurnChain> {
         var chain: TurnChain? = null
         try {
             return either {
-                val last = hold(newest)
-                val older = loadAll(newest.ancestors)
-                TurnChain(older + last, memory)
+                hold(newest).bind()
+                val older = loadAncestors(newest).map { it.bind() }
+                TurnChain(older + newest, memory)
             }.onRight { chain = it }
         } finally {
-            if (chain == null) holding.forEach { memory.release(it) }
+            if (chain == null) holding.forEach(memory::release)
         }
     }
 
-    private suspend fun Raise<TurnFailure>.loadAll(ids: List<CallId>): List<TurnRecord> {
-        val loaded = ArrayList<TurnRecord>()
-        while (loaded.size < ids.size) {
-            val next = ids.subList(loaded.size, ids.size).take(maxOf(1, LOADING_BYTES / largestBytes))
-            val results = coroutineScope { next.map { async { load(it) } }.awaitAll() }
-            results.forEach { loaded += hold(it.bind()) }
+    private suspend fun loadAncestors(newest: TurnRecord): List<Either<TurnFailure, TurnRecord>> =
+        coroutineScope {
+            newest.ancestors
+                .mapIndexed { index, id ->
+                    async { load(id, newest.ancestorBytes?.getOrNull(index)).flatMap(::hold) }
+                }.awaitAll()
         }
-        return loaded
-    }
 
-    private fun Raise<TurnFailure>.hold(record: TurnRecord): TurnRecord {
+    private fun hold(record: TurnRecord): Either<TurnFailure, TurnRecord> {
         chainBytes += record.sizeBytes
-        largestBytes = maxOf(largestBytes, record.sizeBytes)
-        if (memory.tryHold(record, chainBytes)) return record.also(holding::add)
-        raise(if (memory.canEverHold(chainBytes)) TurnFailure.NoMemory else TurnFailure.TooLarge)
-    }
-
-    private companion object {
-        /** The total size of the turns that are read at the same time, as far as those read before tell. */
-        private const val LOADING_BYTES = 4 * 1024 * 1024
+        if (memory.tryHold(record, chainBytes)) {
+            holding += record
+            return record.right()
+        }
+        return (if (memory.canEverHold(chainBytes)) TurnFailure.NoMemory else TurnFailure.TooLarge).left()
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnRecord.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnRecord.kt
@@ -15,6 +15,7 @@
  * @property output the data of the events in the response, each followed by a line feed
  * @property target the target that ran the turn
  * @property generatedTokens the number of tokens in the response, or null in records of earlier builds
+ * @property ancestorBytes the approximate sizes of [ancestors] in memory, or null in records of earlier builds
  */
 @Serializable
 public class TurnRecord(
@@ -25,6 +26,7 @@
     public val output: ByteArray,
     public val target: TargetId,
     public val generatedTokens: Long? = null,
+    public val ancestorBytes: List<Int>? = null,
 ) {
     /** The approximate size in memory. */
     public val sizeBytes: Int
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
@@ -38,6 +38,7 @@
     private val codec = CborCodec(TurnRecord.serializer())
     private val recent = TurnCache(RECENT_BYTES)
     private val reads = TurnReads(::read)
+    private val sizes = TurnSizes()
 
     /** The number of turns whose responses wait for the store. */
     public var unsavedCount: Int = 0
@@ -53,9 +54,9 @@
         account: ClientAccountId?,
     ): Either<TurnFailure, TurnChain> =
         either {
-            val newest = load(last).bind()
+            val newest = load(last, account).bind()
             if (newest.account != account) raise(TurnFailure.NotFound)
-            val loader = ChainLoader(memory, ::load)
+            val loader = ChainLoader(memory) { turn, expectedBytes -> load(turn, account, expectedBytes) }
             loader.load(newest).bind()
         }
 
@@ -109,11 +110,18 @@
     public suspend fun generatedTokens(
         turn: CallId,
         account: ClientAccountId?,
-    ): Long? = load(turn).getOrNull()?.takeIf { it.account == account }?.generatedTokens
+    ): Long? = load(turn, account).getOrNull()?.takeIf { it.account == account }?.generatedTokens
 
-    private suspend fun load(turn: CallId): Either<TurnFailure, TurnRecord> {
+    /** Loads [turn] for a call of [account]. */
+    private suspend fun load(
+        turn: CallId,
+        account: ClientAccountId?,
+        expectedBytes: Int? = null,
+    ): Either<TurnFailure, TurnRecord> {
         (recent.get(turn) ?: memory.find(turn))?.let { return it.right() }
-        return reads.read(turn)
+        return reads
+            .read(turn, expectedBytes ?: sizes.expectedBytes(account))
+            .onRight { sizes.record(account, it.sizeBytes) }
     }
 
     private suspend fun read(turn: CallId): Either<TurnFailure, TurnRecord> {
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/ChainLoaderSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/ChainLoaderSpec.kt
@@ -23,24 +23,32 @@
     val memory: TurnMemory = TurnMemory(CAPACITY_BYTES),
     turnCount: Int,
     inputBytes: Int,
+    newestBytes: Int = inputBytes,
 ) {
     private val ids = (1..turnCount).map { CallId("turn-$it") }
     private val records =
         ids.associateWith {
-            TurnRecord(it, null, ids.takeWhile { id -> id != it }, ByteArray(inputBytes), ByteArray(1), TargetId("i-1"))
+            val ancestors = ids.takeWhile { id -> id != it }
+            val sizes = List(ancestors.size) { inputBytes }
+            val input = ByteArray(if (it == ids.last()) newestBytes else inputBytes)
+            TurnRecord(it, null, ancestors, input, ByteArray(1), TargetId("i-1"), ancestorBytes = sizes)
         }
     val newest = records.getValue(ids.last())
     var missing: CallId? = null
     var loading = 0
     var mostLoading = 0
 
+    private val reads = TurnReads(::read)
+
     suspend fun chain(): Either<TurnFailure, TurnChain> =
-        ChainLoader(memory, ::load).load(
-            memory.find(newest.id) ?: newest,
-        )
+        ChainLoader(memory, ::load).load(memory.find(newest.id) ?: newest)
+
+    private suspend fun load(
+        id: CallId,
+        expectedBytes: Int?,
+    ): Either<TurnFailure, TurnRecord> = memory.find(id)?.right() ?: reads.read(id, expectedBytes ?: 0)
 
-    private suspend fun load(id: CallId): Either<TurnFailure, TurnRecord> {
-        memory.find(id)?.let { return it.right() }
+    private suspend fun read(id: CallId): Either<TurnFailure, TurnRecord> {
         mostLoading = maxOf(mostLoading, ++loading)
         delay(10.milliseconds)
         loading--
@@ -103,7 +111,12 @@
                         listOf("a", "b").map {
                             TurnRecord(id, ClientAccountId(it), emptyList(), ByteArray(9), ByteArray(0), TargetId("i"))
                         }
-                    val chains = records.map { ChainLoader(memory) { error("no other") }.load(it).getOrNull()!! }
+                    val chains =
+                        records.map {
+                            ChainLoader(
+                                memory,
+                            ) { _, _ -> error("no other") }.load(it).getOrNull()!!
+                        }
                     chains.zip(records).forEach { (chain, record) ->
                         chain.turns.single() shouldBeSameInstanceAs record
                     }
@@ -113,6 +126,15 @@
                 }
             }
 
+            // Guards against a heap that is exhausted by long turns behind a short one.
+            it("is read turn by turn if only its newest turn is short") {
+                runTest {
+                    val fixture = LoaderFixture(turnCount = 4, inputBytes = 3_000_000, newestBytes = 10)
+                    fixture.chain().isRight() shouldBe true
+                    fixture.mostLoading shouldBeLessThanOrEqual 1
+                }
+            }
+
             // Guards against memory that a chain takes for good after one of its turns could not be read.
             it("holds nothing if one of its turns cannot be loaded") {
                 runTest {
@@ -130,7 +152,8 @@
                     val whole = LoaderFixture(memory, turnCount = 4, inputBytes = 3_000_000).chain().getOrNull()!!
                     val other = CallId("other")
                     val record = TurnRecord(other, null, emptyList(), ByteArray(3_000_000), ByteArray(0), TargetId("i"))
-                    ChainLoader(memory) { error("no other turn") }.load(record) shouldBe TurnFailure.NoMemory.left()
+                    ChainLoader(memory) { _, _ -> error("no other turn") }.load(record) shouldBe
+                        TurnFailure.NoMemory.left()
                     whole.release()
                     LoaderFixture(memory, turnCount = 5, inputBytes = 3_000_000).chain() shouldBe
                         TurnFailure.TooLarge.left()
@@ -146,7 +169,7 @@
                     val memory = TurnMemory(CAPACITY_BYTES)
                     val id = CallId("a")
                     val first = TurnRecord(id, null, emptyList(), "in".encodeToByteArray(), ByteArray(0), TargetId("i"))
-                    val loader = ChainLoader(memory) { first.right() }
+                    val loader = ChainLoader(memory) { _, _ -> first.right() }
                     val second =
                         TurnRecord(
                             CallId("b"),
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/TurnReadsSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/TurnReadsSpec.kt
@@ -49,7 +49,7 @@
         count: Int,
         name: String,
     ): List<Either<TurnFailure, TurnRecord>> =
-        (1..count).map { test.async { reads.read(CallId("$name-$it")) } }.awaitAll()
+        (1..count).map { test.async { reads.read(CallId("$name-$it"), inputBytes) } }.awaitAll()
 }
 
 class TurnReadsSpec :
@@ -62,7 +62,7 @@
             it("is read once") {
                 runTest {
                     val store = SlowStore(inputBytes = 2_500_000)
-                    val results = (1..40).map { async { store.reads.read(id) } }.awaitAll()
+                    val results = (1..40).map { async { store.reads.read(id, store.inputBytes) } }.awaitAll()
                     results.all { it.isRight() } shouldBe true
                     store.read shouldHaveSize 1
                 }
@@ -71,8 +71,8 @@
             it("is read again for the others if the first call is cancelled") {
                 runTest {
                     val store = SlowStore(inputBytes = 10)
-                    val first = launch { store.reads.read(id) }
-                    val others = (1..3).map { async { store.reads.read(id) } }
+                    val first = launch { store.reads.read(id, store.inputBytes) }
+                    val others = (1..3).map { async { store.reads.read(id, store.inputBytes) } }
                     delay(READ_TIME / 2)
                     first.cancel()
                     others.awaitAll().all { it.isRight() } shouldBe true
@@ -84,10 +84,10 @@
                 runTest {
                     val store = SlowStore(inputBytes = 10)
                     store.missing = id
-                    val results = (1..3).map { async { store.reads.read(id) } }.awaitAll()
+                    val results = (1..3).map { async { store.reads.read(id, store.inputBytes) } }.awaitAll()
                     results.all { it == TurnFailure.NotFound.left() } shouldBe true
                     store.missing = null
-                    store.reads.read(id).isRight() shouldBe true
+                    store.reads.read(id, store.inputBytes).isRight() shouldBe true
                 }
             }
         }
@@ -97,7 +97,6 @@
             it("are read a few at a time if they are long") {
                 runTest {
                     val store = SlowStore(inputBytes = 2_500_000)
-                    store.readMany(this, count = 1, name = "first")
                     store.readMany(this, count = 30, name = "next").all { it.isRight() } shouldBe true
                     store.mostTogether shouldBeLessThanOrEqual 2
                 }
@@ -106,18 +105,29 @@
             it("are read all together if they are short") {
                 runTest {
                     val store = SlowStore(inputBytes = 17_000)
-                    store.readMany(this, count = 40, name = "first")
                     val startedAt = currentTime
                     store.readMany(this, count = 200, name = "next")
                     currentTime - startedAt shouldBe READ_TIME.inWholeMilliseconds
                 }
             }
 
+            // Guards against calls of all accounts that wait for the long turns of one.
+            it("are read beside long ones if they are short") {
+                runTest {
+                    val store = SlowStore(inputBytes = 7_000_000)
+                    val long = (1..5).map { async { store.reads.read(CallId("long-$it"), 7_000_000) } }
+                    delay(1.milliseconds)
+                    val startedAt = currentTime
+                    (1..50).map { async { store.reads.read(CallId("short-$it"), 17_000) } }.awaitAll()
+                    currentTime - startedAt shouldBe READ_TIME.inWholeMilliseconds
+                    long.awaitAll().all { it.isRight() } shouldBe true
+                }
+            }
+
             it("do not wait for calls that are cancelled") {
                 runTest {
                     val store = SlowStore(inputBytes = 7_000_000)
-                    store.readMany(this, count = 1, name = "first")
-                    val left = (1..5).map { launch { store.reads.read(CallId("left-$it")) } }
+                    val left = (1..5).map { launch { store.reads.read(CallId("left-$it"), store.inputBytes) } }
                     delay(READ_TIME / 2)
                     left.forEach { it.cancel() }
                     store.readMany(this, count = 2, name = "next").all { it.isRight() } shouldBe true
