Log a turn's absence that was read for an earlier call

The log did not tell whether the store had been asked after the call arrived. The event turn_absence_shared has the turn, how long before the call the read began, and how long it took.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnReads.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnReads.kt
@@ -1,8 +1,15 @@
 package org.chestnutloom.edge.turn
 
 import arrow.core.Either
+import arrow.core.left
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
+import org.chestnutloom.common.log.event
 import org.chestnutloom.id.CallId
+import org.chestnutloom.time.Clock
+import kotlin.time.Duration
+
+private val logger = KotlinLogging.logger {}
 
 /**
  * Reads turns with [read], each of them once at a time, and so many together as their size allows; confined to the event
@@ -12,9 +19,10 @@
  * ones, so that the calls of other accounts do not wait for it.
  */
 internal class TurnReads(
+    private val clock: Clock,
     private val read: suspend (CallId) -> Either<TurnFailure, TurnRecord>,
 ) {
-    private val reading = HashMap<CallId, CompletableDeferred<Either<TurnFailure, TurnRecord>?>>()
+    private val reading = HashMap<CallId, SharedRead>()
     private val waiting = ArrayList<CompletableDeferred<Unit>>()
     private var readingBytes = 0
 
@@ -23,34 +31,54 @@
         id: CallId,
         expectedBytes: Int,
     ): Either<TurnFailure, TurnRecord> {
+        val askedAt = clock.elapsed()
         while (true) {
             val other = reading[id] ?: return readFirst(id, expectedBytes.coerceIn(0, MAX_TURN_BYTES))
             // Null if the call that read it has been cancelled.
-            other.await()?.let { return it }
+            val result = other.result.await() ?: continue
+            if (result == ABSENT) logAbsent(id, askedAt, other)
+            return result
         }
     }
 
+    /** Logs that [id] is absent according to [read], which another call began. */
+    private fun logAbsent(
+        id: CallId,
+        askedAt: Duration,
+        read: SharedRead,
+    ) {
+        val beganAt = read.beganAt ?: return
+        logger.event(
+            "turn_absence_shared",
+            "turn" to id,
+            "began_before_ms" to (askedAt - beganAt).inWholeMilliseconds,
+            "took_ms" to (clock.elapsed() - beganAt).inWholeMilliseconds,
+        )
+    }
+
     private suspend fun readFirst(
         id: CallId,
         bytes: Int,
     ): Either<TurnFailure, TurnRecord> {
-        val shared = CompletableDeferred<Either<TurnFailure, TurnRecord>?>()
+        val shared = SharedRead()
         reading[id] = shared
         var result: Either<TurnFailure, TurnRecord>? = null
         try {
-            return readWhenAllowed(id, bytes).also { result = it }
+            return readWhenAllowed(id, bytes, shared).also { result = it }
         } finally {
             reading.remove(id)
-            shared.complete(result)
+            shared.result.complete(result)
         }
     }
 
     private suspend fun readWhenAllowed(
         id: CallId,
         bytes: Int,
+        shared: SharedRead,
     ): Either<TurnFailure, TurnRecord> {
         while (readingBytes + bytes > MAX_BYTES) awaitEnd()
         readingBytes += bytes
+        shared.beganAt = clock.elapsed()
         try {
             return read.invoke(id)
         } finally {
@@ -69,7 +97,18 @@
         }
     }
 
+    /** A read that several calls wait for. */
+    private class SharedRead {
+        /** The result, or null if the call that reads the turn has been cancelled. */
+        val result = CompletableDeferred<Either<TurnFailure, TurnRecord>?>()
+
+        /** When the turn was asked for, on the monotonic clock; null while the read waits for others. */
+        var beganAt: Duration? = null
+    }
+
     private companion object {
+        private val ABSENT = TurnFailure.NotFound.left()
+
         /** The total size of the turns that are read together; each takes several times that until it is decoded. */
         const val MAX_BYTES = 4 * 1024 * 1024
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnStore.kt
@@ -37,7 +37,7 @@
 ) {
     private val codec = CborCodec(TurnRecord.serializer())
     private val recent = TurnCache(RECENT_BYTES)
-    private val reads = TurnReads(::read)
+    private val reads = TurnReads(clock, ::read)
     private val sizes = TurnSizes()
 
     /** The number of turns whose responses wait for the store. */
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/ChainLoaderSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/ChainLoaderSpec.kt
@@ -10,7 +10,9 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeSameInstanceAs
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import org.chestnutloom.edge.VirtualClock
 import org.chestnutloom.id.CallId
 import org.chestnutloom.id.ClientAccountId
 import org.chestnutloom.id.TargetId
@@ -38,7 +40,7 @@
     var loading = 0
     var mostLoading = 0
 
-    private val reads = TurnReads(::read)
+    private val reads = TurnReads(VirtualClock(TestScope()), ::read)
 
     suspend fun chain(): Either<TurnFailure, TurnChain> =
         ChainLoader(memory, ::load).load(memory.find(newest.id) ?: newest)
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/TurnReadsSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/TurnReadsSpec.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
+import org.chestnutloom.edge.VirtualClock
 import org.chestnutloom.id.CallId
 import org.chestnutloom.id.TargetId
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,13 +24,14 @@
 
 /** A store of turns of [inputBytes] each. */
 private class SlowStore(
+    test: TestScope,
     var inputBytes: Int,
 ) {
     val read = ArrayList<CallId>()
     var missing: CallId? = null
     var mostTogether = 0
     private var together = 0
-    val reads = TurnReads(::read)
+    val reads = TurnReads(VirtualClock(test), ::read)
 
     private suspend fun read(id: CallId): Either<TurnFailure, TurnRecord> {
         read += id
@@ -61,7 +63,7 @@
             // Guards against a heap that is exhausted by many calls that continue one long turn.
             it("is read once") {
                 runTest {
-                    val store = SlowStore(inputBytes = 2_500_000)
+                    val store = SlowStore(this, inputBytes = 2_500_000)
                     val results = (1..40).map { async { store.reads.read(id, store.inputBytes) } }.awaitAll()
                     results.all { it.isRight() } shouldBe true
                     store.read shouldHaveSize 1
@@ -70,7 +72,7 @@
 
             it("is read again for the others if the first call is cancelled") {
                 runTest {
-                    val store = SlowStore(inputBytes = 10)
+                    val store = SlowStore(this, inputBytes = 10)
                     val first = launch { store.reads.read(id, store.inputBytes) }
                     val others = (1..3).map { async { store.reads.read(id, store.inputBytes) } }
                     delay(READ_TIME / 2)
@@ -82,7 +84,7 @@
 
             it("is missing for all of them, and read again later") {
                 runTest {
-                    val store = SlowStore(inputBytes = 10)
+                    val store = SlowStore(this, inputBytes = 10)
                     store.missing = id
                     val results = (1..3).map { async { store.reads.read(id, store.inputBytes) } }.awaitAll()
                     results.all { it == TurnFailure.NotFound.left() } shouldBe true
@@ -96,7 +98,7 @@
             // Guards against a heap that is exhausted by calls that continue different long turns.
             it("are read a few at a time if they are long") {
                 runTest {
-                    val store = SlowStore(inputBytes = 2_500_000)
+                    val store = SlowStore(this, inputBytes = 2_500_000)
                     store.readMany(this, count = 30, name = "next").all { it.isRight() } shouldBe true
                     store.mostTogether shouldBeLessThanOrEqual 2
                 }
@@ -104,7 +106,7 @@
 
             it("are read all together if they are short") {
                 runTest {
-                    val store = SlowStore(inputBytes = 17_000)
+                    val store = SlowStore(this, inputBytes = 17_000)
                     val startedAt = currentTime
                     store.readMany(this, count = 200, name = "next")
                     currentTime - startedAt shouldBe READ_TIME.inWholeMilliseconds
@@ -114,7 +116,7 @@
             // Guards against calls of all accounts that wait for the long turns of one.
             it("are read beside long ones if they are short") {
                 runTest {
-                    val store = SlowStore(inputBytes = 7_000_000)
+                    val store = SlowStore(this, inputBytes = 7_000_000)
                     val long = (1..5).map { async { store.reads.read(CallId("long-$it"), 7_000_000) } }
                     delay(1.milliseconds)
                     val startedAt = currentTime
@@ -126,7 +128,7 @@
 
             it("do not wait for calls that are cancelled") {
                 runTest {
-                    val store = SlowStore(inputBytes = 7_000_000)
+                    val store = SlowStore(this, inputBytes = 7_000_000)
                     val left = (1..5).map { launch { store.reads.read(CallId("left-$it"), store.inputBytes) } }
                     delay(READ_TIME / 2)
                     left.forEach { it.cancel() }
