Read a turn again for calls that came after a read that missed it

Cause: calls that ask for the same turn share one read. The first read may have been sent before the turn was stored; its absence was handed to calls that arrived after the turn's response had ended. With a slow store a gateway that settles a budget reads the turn in progress, and the call that continues it arrives within the 240 ms of that read.

Change: an absence is shared only with calls that came before the read began; for later ones the turn is read once more, for all of them together. What was found is shared as before, since stored turns never change. The event is now turn_read_again.

Tests: TurnReadsSpec, "is read once more for all calls that came after the read began", fails before the change ("expected true but was false") and passes with it; it plays both rules at once, as 40 calls in the middle of a read that misses must find the turn, with two reads in total.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnReads.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnReads.kt
@@ -15,7 +15,8 @@
  * Reads turns with [read], each of them once at a time, and so many together as their size allows; confined to the event
  * loop.
  *
- * Calls that continue the same turn share what is read. A long turn waits for other long ones, and leaves room for short
+ * Calls that continue the same turn share what is read. That it does not exist is shared only with calls that came before
+ * the read began: others may continue a turn that was stored after the store had looked for it. A long turn waits for other long ones, and leaves room for short
  * ones, so that the calls of other accounts do not wait for it.
  */
 internal class TurnReads(
@@ -26,34 +27,31 @@
     private val waiting = ArrayList<CompletableDeferred<Unit>>()
     private var readingBytes = 0
 
+    /** Counts calls and beginnings of reads in the order in which they happen. */
+    private var lastMoment = 0L
+
     /** Returns the turn [id], whose size is expected to be [expectedBytes], or why it could not be read. */
     suspend fun read(
         id: CallId,
         expectedBytes: Int,
     ): Either<TurnFailure, TurnRecord> {
-        val askedAt = clock.elapsed()
+        val askedAt = ++lastMoment
         while (true) {
             val other = reading[id] ?: return readFirst(id, expectedBytes.coerceIn(0, MAX_TURN_BYTES))
             // Null if the call that read it has been cancelled.
             val result = other.result.await() ?: continue
-            if (result == ABSENT) logAbsent(id, askedAt, other)
-            return result
+            if (result != ABSENT || other.hasBegunAfter(askedAt)) return result
+            logOutdated(id, other)
         }
     }
 
-    /** Logs that [id] is absent according to [read], which another call began. */
-    private fun logAbsent(
+    /** Logs that [read] did not find the turn [id], but began before a call that asks for it. */
+    private fun logOutdated(
         id: CallId,
-        askedAt: Duration,
         read: SharedRead,
     ) {
-        val beganAt = read.beganAt ?: return
-        logger.event(
-            "turn_absence_shared",
-            "turn" to id,
-            "began_before_ms" to (askedAt - beganAt).inWholeMilliseconds,
-            "took_ms" to (clock.elapsed() - beganAt).inWholeMilliseconds,
-        )
+        val tookMs = read.startedAt?.let { (clock.elapsed() - it).inWholeMilliseconds }
+        logger.event("turn_read_again", "turn" to id, "read_took_ms" to tookMs)
     }
 
     private suspend fun readFirst(
@@ -78,7 +76,7 @@
     ): Either<TurnFailure, TurnRecord> {
         while (readingBytes + bytes > MAX_BYTES) awaitEnd()
         readingBytes += bytes
-        shared.beganAt = clock.elapsed()
+        shared.begin()
         try {
             return read.invoke(id)
         } finally {
@@ -98,12 +96,22 @@
     }
 
     /** A read that several calls wait for. */
-    private class SharedRead {
+    private inner class SharedRead {
         /** The result, or null if the call that reads the turn has been cancelled. */
         val result = CompletableDeferred<Either<TurnFailure, TurnRecord>?>()
 
-        /** When the turn was asked for, on the monotonic clock; null while the read waits for others. */
-        var beganAt: Duration? = null
+        /** The time on the monotonic clock at which the store was asked; null while the read waits for others. */
+        var startedAt: Duration? = null
+            private set
+
+        private var beganAt = 0L
+
+        fun begin() {
+            startedAt = clock.elapsed()
+            beganAt = ++lastMoment
+        }
+
+        fun hasBegunAfter(moment: Long): Boolean = beganAt > moment
     }
 
     private companion object {
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/TurnReadsSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/turn/TurnReadsSpec.kt
@@ -36,12 +36,14 @@
     private suspend fun read(id: CallId): Either<TurnFailure, TurnRecord> {
         read += id
         mostTogether = maxOf(mostTogether, ++together)
+        // The store answers with what it held when it was asked.
+        val isMissing = id == missing
         try {
             delay(READ_TIME)
         } finally {
             together--
         }
-        if (id == missing) return TurnFailure.NotFound.left()
+        if (isMissing) return TurnFailure.NotFound.left()
         return TurnRecord(id, null, emptyList(), ByteArray(inputBytes), ByteArray(0), TargetId("i-1")).right()
     }
 
@@ -94,6 +96,34 @@
             }
         }
 
+        describe("a turn that is stored while it is read") {
+            // Guards against a 404 for a turn that was answered whole, since an earlier call had not found it (review/11).
+            it("is read once more for all calls that came after the read began") {
+                runTest {
+                    val store = SlowStore(this, inputBytes = 2_500_000)
+                    store.missing = id
+                    val first = async { store.reads.read(id, store.inputBytes) }
+                    delay(READ_TIME / 2)
+                    store.missing = null
+                    val later = (1..40).map { async { store.reads.read(id, store.inputBytes) } }
+                    first.await() shouldBe TurnFailure.NotFound.left()
+                    later.awaitAll().all { it.isRight() } shouldBe true
+                    store.read shouldHaveSize 2
+                }
+            }
+
+            it("is found by calls that came while the read waited for others") {
+                runTest {
+                    val store = SlowStore(this, inputBytes = 7_000_000)
+                    repeat(2) { launch { store.reads.read(CallId("long-$it"), store.inputBytes) } }
+                    delay(1.milliseconds)
+                    val calls = (1..3).map { async { store.reads.read(id, store.inputBytes) } }
+                    calls.awaitAll().all { it.isRight() } shouldBe true
+                    store.read.count { it == id } shouldBe 1
+                }
+            }
+        }
+
         describe("different turns that are read at the same time") {
             // Guards against a heap that is exhausted by calls that continue different long turns.
             it("are read a few at a time if they are long") {
