Count targets that crash together as one crash of their requests

What callers saw: two targets crashed at one moment while each ran a turn with the input "continue".

Cause: the requests in flight at each crashed target are suspected, and a request with two crashes is quarantined. Two targets that crash together counted as two crashes, and nobody was allowed to show during the quarantine that it was innocent.

Change: - Crashes count if they are consecutive: the request of the later one was sent after the crash before. Reports between gateways carry how long the request had run. A request that crashes whoever runs it is sent again after each crash, so it is still quarantined. The time that a crash takes to be detected (100 ms) or reported (500 ms) counts as the same moment. - A quarantine ends with trials: 3 s after the second crash, then 60, 120 and 240 s after a failed one, one request at a time in the whole fleet, granted by the gateway that follows the fingerprint on the hash ring.

Why both rules hold: what tells the two apart is that a crashing request runs again only after its last crash was seen, while innocent ones ran at all targets before.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeLinkHandler.kt
@@ -8,6 +8,8 @@
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.edge.budget.BudgetAllocator
 import org.chestnutloom.edge.budget.BudgetKey
+import org.chestnutloom.edge.crash.RequestFingerprint
+import org.chestnutloom.edge.crash.TrialGrants
 import org.chestnutloom.edge.store.ChangeFailure
 import org.chestnutloom.edge.store.RowSnapshot
 import org.chestnutloom.edge.store.RowStore
@@ -18,6 +20,7 @@
 import org.chestnutloom.wire.link.PeerIdentity
 import org.chestnutloom.wire.message.CallRefused
 import org.chestnutloom.wire.message.ChangeStore
+import org.chestnutloom.wire.message.ClaimTrial
 import org.chestnutloom.wire.message.Done
 import org.chestnutloom.wire.message.FindTurn
 import org.chestnutloom.wire.message.LinkReply
@@ -36,6 +39,7 @@
     private val store: RowStore,
     private val budgets: BudgetAllocator,
     private val turns: TurnStore,
+    private val trials: TrialGrants,
 ) : LinkHandler {
     override fun handle(
         peer: PeerIdentity,
@@ -47,6 +51,7 @@
             is ReadStore -> read(request)
             is ChangeStore -> change(request)
             is TrimBudget -> settle(request)
+            is ClaimTrial -> grantTrial(request)
             is FindTurn -> TurnFound(turns.find(request.turn)?.takeIf { it.size <= MAX_TURN_BYTES })
             else -> refusal("Edge gateways do not support this request type.")
         }
@@ -56,6 +61,11 @@
         return if (isSettled) Done else refusal("The claim could not be written.")
     }
 
+    private fun grantTrial(request: ClaimTrial): LinkReply {
+        if (trials.grant(RequestFingerprint(request.fingerprint))) return Done
+        return refusal("Another trial of the request may be in progress.", RefusalCode.QUARANTINED)
+    }
+
     private suspend fun read(request: ReadStore): StoreReply =
         store
             .read(request.table, request.partition)
@@ -87,8 +97,10 @@
             is ChangeFailure.Failed -> toWire(failure.cause)
         }
 
-    private fun refusal(detail: String): LinkReply =
-        CallRefused(Refusal(RefusalCode.BAD_REQUEST, Execution.NOT_RUN, detail))
+    private fun refusal(
+        detail: String,
+        code: RefusalCode = RefusalCode.BAD_REQUEST,
+    ): LinkReply = CallRefused(Refusal(code, Execution.NOT_RUN, detail))
 
     private companion object {
         /** With one more row, a page is well below the largest frame of a link. */
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -25,6 +25,8 @@
 import org.chestnutloom.edge.config.ConfigurationHolder
 import org.chestnutloom.edge.config.RequestLimits
 import org.chestnutloom.edge.crash.RequestQuarantine
+import org.chestnutloom.edge.crash.SuspectTrials
+import org.chestnutloom.edge.crash.TrialGrants
 import org.chestnutloom.edge.feed.ConfigurationListener
 import org.chestnutloom.edge.feed.EvacuationListener
 import org.chestnutloom.edge.feed.MemberListener
@@ -39,6 +41,7 @@
 import org.chestnutloom.edge.fleet.FleetHeartbeat
 import org.chestnutloom.edge.fleet.FleetMessage
 import org.chestnutloom.edge.fleet.FleetSocket
+import org.chestnutloom.edge.fleet.FleetSuspectTrials
 import org.chestnutloom.edge.fleet.FleetTurnPeers
 import org.chestnutloom.edge.fleet.Member
 import org.chestnutloom.edge.fleet.MemberRegistry
@@ -110,7 +113,13 @@
         )
     private val availability = scheduling.availability
     private val scheduler = scheduling.scheduler
-    private val quarantine = RequestQuarantine({ connector.isConnectionRefused(it.address) }, clock, loop.scope)
+    private val quarantine =
+        RequestQuarantine(
+            { connector.isConnectionRefused(it.address) },
+            { suspectTrials.claim(it) },
+            clock,
+            loop.scope,
+        )
     private val heartbeats: HeartbeatExchange =
         HeartbeatExchange(
             settings.self,
@@ -130,6 +139,8 @@
     private val prefetch = TokenPrefetch(fleet, quotaClient, quotaMetrics, clock, loop.scope)
     private val quotaServer = QuotaServer(heartbeats.quotas, configurations, socket, loop.scope)
     private val links = PeerLinks(settings.self, clock, loop.scope)
+    private val trialGrants = TrialGrants(clock)
+    private val suspectTrials: SuspectTrials = FleetSuspectTrials(fleet, links, trialGrants)
     private val store = RelayingRowStore(ownStore, storeHealth, fleet, links)
     private val memory = EdgeMemory()
     private val turns =
@@ -170,7 +181,7 @@
         ingressPort = ingress.start()
         socket.start(::receive)
         fleet.start()
-        links.start(EdgeLinkHandler(ownStore, budgets, turns))
+        links.start(EdgeLinkHandler(ownStore, budgets, turns, trialGrants))
         loop.scope.launch { memberRegistry.register() }
         availability.evacuations.onChange(scheduler::dispatch)
         watch(adapter.rowDecoder.configurationTable, configurationListener())
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
@@ -17,6 +17,7 @@
 import org.chestnutloom.edge.target.TargetScheduler
 import org.chestnutloom.edge.target.TargetStage
 import org.chestnutloom.time.Clock
+import kotlin.time.Duration
 
 private val logger = KotlinLogging.logger {}
 
@@ -53,11 +54,12 @@
         target: Target,
     ): AttemptResult {
         call.lastTarget = target.entry.id
+        val startedAt = clock.elapsed()
         var result: AttemptResult? = null
         try {
             listeners.forEach { it.started(call, target) }
             result = attempts.send(call, target) { listeners.forEach { it.responseBegun(call, target) } }
-            recordResult(call, target, result)
+            recordResult(call, target, result, startedAt)
             return result
         } finally {
             try {
@@ -73,13 +75,14 @@
         call: RoutedCall,
         target: Target,
         result: AttemptResult,
+        startedAt: Duration,
     ) {
         when (result) {
             is AttemptResult.Responded ->
-                if (result.isComplete) recordSurvival(call) else recordAborted(call, target)
+                if (result.isComplete) recordSurvival(call) else recordAborted(call, target, startedAt)
             is AttemptResult.Lost -> {
                 logLost(call, target, result.cause)
-                recordAborted(call, target)
+                recordAborted(call, target, startedAt)
             }
             is AttemptResult.NotRun, is AttemptResult.TimedOut -> Unit
         }
@@ -101,9 +104,10 @@
     private fun recordAborted(
         call: RoutedCall,
         target: Target,
+        startedAt: Duration,
     ) {
         if (target.isLeaving || target.entry.stage != TargetStage.READY) return
-        quarantine.recordAborted(call.fingerprint, runOf(target.entry))
+        quarantine.recordAborted(call.fingerprint, runOf(target.entry), ranFor = clock.elapsed() - startedAt)
     }
 
     /**
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -72,7 +72,7 @@
         context.account = account
         val call = with(calls) { create(configuration, route, account, request, exchange, head) }
         context.call = call
-        if (quarantine.hasCrashes) quarantine.remainingQuarantine(call.fingerprint)?.let { raise(quarantined(it)) }
+        if (quarantine.hasCrashes) quarantine.admit(call.fingerprint)?.let { raise(quarantined(it)) }
         account?.let { admit(it, call, context) }
         val response = dispatcher.dispatch(call).bind()
         context.status = response.status
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/RequestQuarantine.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/RequestQuarantine.kt
@@ -15,14 +15,18 @@
 private val logger = KotlinLogging.logger {}
 
 /**
- * Quarantines requests that crashed several targets and ran without a crash at none; confined to the event loop.
+ * Quarantines requests that crashed targets one after the other and ran without a crash at none; confined to the event loop.
  *
  * An aborted response alone does not indicate a crash. It counts as one only if no process listens on the target's port
- * any more. As every request in flight at that moment is suspected, a suspicion is cleared when a request with the same
- * fingerprint runs to its end, and a quarantine is limited in time: its length doubles with each further crash.
+ * any more. Every request in flight at that moment is suspected, also with the same input at several targets that crash
+ * together, which therefore count once. A suspicion is cleared when a request with the same fingerprint runs to its end.
+ *
+ * A quarantine ends with a trial: after a time, which grows with each further crash, one request at a time is sent, and if
+ * it runs to its end all others may follow.
  */
 internal class RequestQuarantine(
     private val probe: CrashProbe,
+    private val trials: SuspectTrials,
     private val clock: Clock,
     private val scope: CoroutineScope,
 ) {
@@ -44,24 +48,50 @@
         return newest + List(minOf(OLDER_PER_HEARTBEAT, older.size)) { older[nextOlder++.mod(older.size)] }
     }
 
-    /** Returns how long the request with [fingerprint] must not be sent to any target, or null if it may be sent. */
-    fun remainingQuarantine(fingerprint: RequestFingerprint): Duration? {
+    /**
+     * Returns after which time the request with [fingerprint] should be sent again, or null if it may be sent to a target
+     * now, for a trial at most once.
+     */
+    suspend fun admit(fingerprint: RequestFingerprint): Duration? {
+        val remaining = untilTrial(fingerprint) ?: return null
+        if (remaining.isPositive()) return remaining
+        return if (trials.claim(fingerprint)) null else TRIAL_RETRY
+    }
+
+    /** Returns the time until a trial of the request with [fingerprint], or null if the request is not quarantined. */
+    private fun untilTrial(fingerprint: RequestFingerprint): Duration? {
         val crashes = crashesOf(fingerprint)
-        if (crashes.size < QUARANTINE_CRASHES) return null
-        val furtherCrashes = (crashes.size - QUARANTINE_CRASHES).coerceAtMost(MAX_DOUBLINGS)
-        val endsAt = crashes.maxOf { it.crashedAt } + FIRST_QUARANTINE * (1 shl furtherCrashes)
-        return (endsAt - clock.elapsed()).takeIf { it.isPositive() }
+        val count = countConsecutive(crashes)
+        if (count < QUARANTINE_CRASHES) return null
+        val trialAt = crashes.maxOf { it.crashedAt } + trialDelay(failedTrials = count - QUARANTINE_CRASHES)
+        return (trialAt - clock.elapsed()).coerceAtLeast(Duration.ZERO)
+    }
+
+    private fun trialDelay(failedTrials: Int): Duration {
+        if (failedTrials == 0) return FIRST_TRIAL_DELAY
+        return NEXT_TRIAL_DELAY * (1 shl (failedTrials - 1).coerceAtMost(MAX_DOUBLINGS))
     }
 
-    /** Records that [targetRun] aborted the response to the request with [fingerprint]. */
+    /** Records that [targetRun] aborted the response to the request with [fingerprint], which it had run for [ranFor]. */
     fun recordAborted(
         fingerprint: RequestFingerprint,
         targetRun: TargetRun,
+        ranFor: Duration,
     ) {
+        val crashedAt = clock.elapsed()
         scope.launch {
             delay(PROBE_DELAY)
             if (!probe.isDown(targetRun)) return@launch
-            put(CrashEvidence(fingerprint, targetRun.name, clock.elapsed(), isCleared = false))
+            put(
+                CrashEvidence(
+                    fingerprint,
+                    targetRun.name,
+                    crashedAt,
+                    ranFor,
+                    isCleared = false,
+                    isReported = false,
+                ),
+            )
         }
     }
 
@@ -74,12 +104,23 @@
     fun merge(reports: List<CrashReport>) {
         val now = clock.elapsed()
         reports.filter(::isRecent).forEach { report ->
-            val fingerprint = RequestFingerprint(report.fingerprint)
             val crashedAt = now - report.ageMs.milliseconds
-            put(CrashEvidence(fingerprint, report.crash, crashedAt, report.isCleared), crashedAt - MAX_TRANSIT)
+            put(evidenceOf(report, crashedAt), evictsBefore = crashedAt - MAX_TRANSIT)
         }
     }
 
+    private fun evidenceOf(
+        report: CrashReport,
+        crashedAt: Duration,
+    ) = CrashEvidence(
+        RequestFingerprint(report.fingerprint),
+        report.crash,
+        crashedAt,
+        report.ranMs.coerceIn(0, REPORT_PERIOD.inWholeMilliseconds).milliseconds,
+        report.isCleared,
+        isReported = true,
+    )
+
     private fun isRecent(report: CrashReport): Boolean = report.ageMs in 0 until REPORT_PERIOD.inWholeMilliseconds
 
     private fun crashesOf(fingerprint: RequestFingerprint): List<CrashEvidence> =
@@ -99,7 +140,7 @@
         if (clock.elapsed() - received.crashedAt >= RETENTION) return
         if (known == null && evidence.size >= MAX_EVIDENCE && !evictBefore(evictsBefore)) return
         evidence.remove(key)
-        evidence[key] = received.copy(crashedAt = known?.crashedAt ?: received.crashedAt)
+        evidence[key] = known?.copy(isCleared = received.isCleared) ?: received
         log(received)
     }
 
@@ -121,8 +162,10 @@
             if (changed.isCleared) "crash_cleared" else "target_crashed",
             "run" to changed.crash,
             "fingerprint" to changed.fingerprint.value,
+            "ran_ms" to changed.ranFor.inWholeMilliseconds,
             "crashes" to crashesOf(changed.fingerprint).size,
-            "quarantine_ms" to (remainingQuarantine(changed.fingerprint)?.inWholeMilliseconds ?: 0),
+            "consecutive" to countConsecutive(crashesOf(changed.fingerprint)),
+            "quarantine_ms" to (untilTrial(changed.fingerprint)?.inWholeMilliseconds ?: 0),
         )
     }
 
@@ -135,12 +178,20 @@
         /** The time after which the port of a crashed target is closed. */
         private val PROBE_DELAY = 50.milliseconds
 
-        /** The number of crashes, without a run to the end since, from which a request is quarantined. */
+        /** The number of consecutive crashes, without a run to the end since, from which a request is quarantined. */
         private const val QUARANTINE_CRASHES = 2
-        private val FIRST_QUARANTINE = 30.seconds
-        private const val MAX_DOUBLINGS = 3
 
-        /** Longer than the longest quarantine, so that the next crash after it still doubles it. */
+        /** The first trial comes soon, since most requests that were in flight at two crashes have caused neither. */
+        private val FIRST_TRIAL_DELAY = 3.seconds
+
+        /** After a trial that crashed its target; doubled after each further one. */
+        private val NEXT_TRIAL_DELAY = 60.seconds
+        private const val MAX_DOUBLINGS = 2
+
+        /** A trial in progress will often have ended by then. */
+        private val TRIAL_RETRY = 1.seconds
+
+        /** Longer than the longest time until a trial, so that a crash in the trial counts on. */
         private val RETENTION = 6.minutes
 
         /**
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
@@ -90,6 +90,9 @@
     public fun replicasOf(account: ClientAccountId): ImmutableList<GatewayId> =
         if (isMembershipKnown) topology.replicasOf(account) else persistentListOf()
 
+    /** Returns all gateways, this one included, in the order in which they follow [key] on the hash ring. */
+    internal fun successorsOf(key: String): ImmutableList<GatewayId> = topology.successorsOf(key)
+
     /** Sends heartbeats until the scope ends. */
     public fun start() {
         scope.launch { runHeartbeats() }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetTopology.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetTopology.kt
@@ -54,6 +54,9 @@
             placement.successorsOf(account.value, if (isFullMesh) placement.size else ACCOUNT_REPLICAS)
         }
 
+    /** Returns all gateways, this one included, in the order in which they follow [key] on the ring. */
+    fun successorsOf(key: String): ImmutableList<GatewayId> = ring.successorsOf(key, ring.size)
+
     private fun neighborsOn(
         ring: HashRing,
         gateway: GatewayId,
