Claim a turn's tokens when it is sent, and tolerate one lost claim

What callers saw: turns that waited for a target at a gateway which was killed had never run.

Cause: a turn was named in its program's row, with the most that it may spend, before the quota, the quarantine and the queue for a target. Nobody can tell afterwards that it was never sent, so it counted for good. Since the claims of gateways that are gone were left out when a refusal was classified, the answer was never a final one either.

Change: - The tokens of a turn that will be stored are reserved when it has got a slot at a target, next to the send. A turn that is refused by quota, quarantine or a full queue writes nothing. One whose budget is known to be used up is refused at once. - While turns of gateways that are gone are named, the claims in a row may exceed the budget by one turn. All gateways apply the same inequality in a conditional write, so callers never get more, whoever is taken for gone. - Turns of a gateway that has been gone for 2 s count at their most for the answer 402, less that one turn. - Before a refusal the row is read, its holders are asked to settle, and it is read again. After a conflict this starts anew; so far the holders in an older row were asked.

Tests: BudgetModel has the event between claim and target, gateways that are paused and taken for gone, the bound of six tries for a program with room, and a final answer for one without. The model allowed callers the budget; it now allows what the rule does, one turn beyond it, and only after a gateway was lost in the middle of a turn.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -21,6 +21,7 @@
 import org.chestnutloom.edge.call.ResponseRelay
 import org.chestnutloom.edge.call.ShutdownDeadline
 import org.chestnutloom.edge.call.TargetAttempts
+import org.chestnutloom.edge.call.TurnReservations
 import org.chestnutloom.edge.codec.CborCodec
 import org.chestnutloom.edge.config.ConfigurationHolder
 import org.chestnutloom.edge.config.RequestLimits
@@ -254,7 +255,17 @@
     private fun callService(): CallService {
         val check = CompletionCheck(ListeningProbe(loop.scope, clock, targets) { it.pool.addIdle() })
         val attempts = TargetAttempts(adapter.callCodec, ResponseRelay(check, clock), clock, loop.scope)
-        val dispatcher = CallDispatcher(scheduler, attempts, quarantine, scheduling.attemptListeners, clock, loop.scope)
+        val reservations = TurnReservations(budgets, clock)
+        val dispatcher =
+            CallDispatcher(
+                scheduler,
+                attempts,
+                reservations,
+                quarantine,
+                scheduling.attemptListeners,
+                clock,
+                loop.scope,
+            )
         return CallService(
             configurations,
             adapter.callCodec,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
@@ -20,21 +20,23 @@
 import org.chestnutloom.edge.store.ChangeFailure
 import org.chestnutloom.edge.store.storeUnavailable
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
 
 /**
  * Enforces token budgets of programs across gateways, restarts and store outages; confined to the event loop.
  *
- * A turn that will be stored is named in the program's row, with the most that it may spend, before it starts. The failure
- * of a gateway leaves only turns unknown that it had not ended: what a named turn spent is read from the stored turn, if it
- * was answered whole; otherwise it counts at its most.
+ * A turn that will be stored is named in the program's row, with the most that it may spend, before it is sent to a target.
+ * The failure of a gateway leaves only turns unknown that it had not ended: what a named turn spent is read from the stored
+ * turn, if it was answered whole; otherwise it counts at its most. As it may never have been sent, one turn is tolerated
+ * beyond the budget while such turns are named.
  *
  * Turns that are not stored are not named, as they must go on while the store is unavailable. A gateway claims tokens for a few of
  * them ahead, which count as spent when it fails.
  *
- * A turn is refused as over budget only if the tokens that are known to be spent leave no room for it; otherwise its caller
- * may try again.
+ * A turn is refused as over budget only if the tokens that are known to be spent, or that turns which can't end any more may
+ * have spent, leave no room for it; otherwise its caller may try again.
  *
  * @param scope runs the writes that no caller waits for
  * @param maxPrograms the number of programs whose budgets are kept in memory
@@ -52,6 +54,16 @@
 
     private val budgets = LinkedHashMap<BudgetKey, ProgramBudget>(INITIAL_PROGRAMS, LOAD_FACTOR, true)
 
+    /** Returns whether the first turn of [key]'s program has not run yet, as far as this gateway knows. */
+    public fun isUnused(key: BudgetKey): Boolean = budgets[key]?.isUnused ?: true
+
+    /** Refuses the turn if the store shows that no tokens are left for it; asks only if this gateway has reason to doubt it. */
+    public suspend fun check(request: TurnTokens): Refusal? {
+        val budget = budgets[request.key] ?: return null
+        if (hasRoom(request, budget)) return null
+        return budget.claiming.withLock { findShortage(request, budget) }
+    }
+
     /** Reserves the tokens of [request], or refuses the turn as not run. */
     public suspend fun reserve(request: TurnTokens): Either<Refusal, Reservation> {
         val budget = budgetOf(request.key)
@@ -178,29 +190,42 @@
         budget: ProgramBudget,
         reservation: Reservation,
     ): Refusal? {
-        var arePeersSettled: Boolean? = null
         repeat(MAX_ATTEMPTS) {
             if (reservation.isCompleted) return null
             if (budget.covers(reservation)) return null.also { budget.start(reservation) }
-            val isShort = request.maxTokens > budget.freeTokens(request.budgetTokens)
-            if (isShort && arePeersSettled == true) return noneLeft(request, budget)
-            if (isShort && arePeersSettled == false) return contended()
+            findShortage(request, budget)?.let { return it }
+            val claim = budget.currentClaim(reservation, aheadTokens(request, budget))
             val failure =
-                if (isShort) {
-                    arePeersSettled = peers.settle(request.key, budget.otherClaims)
-                    readSettled(request, budget)
-                } else {
-                    write(request.key, budget, budget.currentClaim(reservation, aheadTokens(request, budget)))
-                }
+                write(request.key, budget, claim) ?: return null.also { start(request.key, budget, reservation) }
             if (failure is ChangeFailure.Failed) {
-                if (!isShort) writeSoon(request.key, budget)
+                writeSoon(request.key, budget)
                 return claimFailed(request.key, failure)
             }
-            if (failure == null && !isShort) return null.also { start(request.key, budget, reservation) }
         }
         return contended()
     }
 
+    /** Returns why no tokens are left for [request], or null if some are according to the row as last read. */
+    private suspend fun findShortage(
+        request: TurnTokens,
+        budget: ProgramBudget,
+    ): Refusal? {
+        if (hasRoom(request, budget)) return null
+        readSettled(request, budget)?.let { return claimFailed(request.key, it) }
+        if (hasRoom(request, budget)) return null
+        val arePeersSettled = peers.settle(request.key, budget.otherClaims)
+        readSettled(request, budget)?.let { return claimFailed(request.key, it) }
+        val toleratedTokens = budget.toleratedTokens(request.maxTokens) { peers.goneFor(it) != null }
+        if (hasRoom(request, budget, toleratedTokens)) return null
+        return if (arePeersSettled) noneLeft(request, budget) else contended()
+    }
+
+    private fun hasRoom(
+        request: TurnTokens,
+        budget: ProgramBudget,
+        toleratedTokens: Long = 0,
+    ): Boolean = request.maxTokens <= budget.freeTokens(request.budgetTokens) + toleratedTokens
+
     /** Starts [reservation], which has been claimed, unless its caller has left meanwhile. */
     private fun start(
         key: BudgetKey,
@@ -250,7 +275,7 @@
         request: TurnTokens,
         budget: ProgramBudget,
     ): Refusal {
-        val isExhausted = budget.isExhausted(request.budgetTokens, request.maxTokens, peers::isRegistered)
+        val isExhausted = budget.isExhausted(request.budgetTokens, request.maxTokens, SETTLED_AFTER, peers::goneFor)
         logger.event(
             if (isExhausted) "budget_exhausted" else "budget_unsettled",
             "program" to request.key.program,
@@ -259,6 +284,7 @@
             "claimed" to request.budgetTokens - budget.freeTokens(request.budgetTokens),
             "claimed_by_others" to budget.otherClaims.sumOf { it.tokens },
             "pending_at_others" to budget.otherClaims.flatMap { it.pending }.joinToString(" ") { it.turn.value },
+            "others_gone_ms" to budget.otherClaims.joinToString(" ") { "${peers.goneFor(it)?.inWholeMilliseconds}" },
         )
         if (!isExhausted) return unsettled()
         return Refusal(RefusalCode.BUDGET_EXHAUSTED, Execution.NOT_RUN, "The program's token budget is exhausted.")
@@ -304,6 +330,9 @@
 
         private const val CONCURRENT_SETTLEMENTS = 32
         private const val SETTLE_TRIES = 5
+
+        /** A turn of a gateway that is not registered any more has been stored by then, or its caller has left. */
+        private val SETTLED_AFTER = 2.seconds
         private val SETTLE_RETRY_DELAY = 1_000.milliseconds
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetClaim.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetClaim.kt
@@ -26,9 +26,13 @@
     internal val holder: BudgetHolder
         get() = BudgetHolder(gateway, incarnation)
 
+    /** What the turns in [pending] may spend. */
+    internal val pendingTokens: Long
+        get() = pending.sumOf { it.tokens }
+
     /** The tokens of which only the holder knows whether they are spent. */
     internal val aheadTokens: Long
-        get() = tokens - spentTokens - pending.sumOf { it.tokens }
+        get() = tokens - spentTokens - pendingTokens
 
     /** Returns whether this is the claim of [holder] in [generation]. */
     internal fun isOf(
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetPeers.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetPeers.kt
@@ -1,5 +1,7 @@
 package org.chestnutloom.edge.budget
 
+import kotlin.time.Duration
+
 /** The other gateways as holders of budget claims. */
 public fun interface BudgetPeers {
     /**
@@ -12,6 +14,9 @@
         claims: List<BudgetClaim>,
     ): Boolean
 
-    /** Returns whether the gateway that holds [claim] is known to be registered, so that it may still spend its claim. */
-    public fun isRegistered(claim: BudgetClaim): Boolean = false
+    /**
+     * Returns for how long the incarnation that holds [claim] is known not to be registered any more, or null if it is
+     * registered.
+     */
+    public fun goneFor(claim: BudgetClaim): Duration? = Duration.ZERO
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/ProgramBudget.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/ProgramBudget.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.sync.Mutex
 import org.chestnutloom.id.CallId
+import kotlin.time.Duration
 
 /**
  * This gateway's view of the budget of one program; confined to the event loop.
@@ -59,6 +60,19 @@
     /** The tokens that the claims of other gateway incarnations leave of [budgetTokens] for further turns here. */
     fun freeTokens(budgetTokens: Long): Long = budgetTokens - otherClaims.sumOf { it.tokens } - usedTokens
 
+    /**
+     * The part of one turn with at most [maxTokens] for which the budget may be exceeded, as turns of failed gateways may
+     * never have run.
+     *
+     * A claim that was written by a gateway which failed before it sent the turn to a target can't be told from one for a
+     * turn that ran. All gateways let the claims in the row exceed the budget by one turn at most, so that callers never get
+     * more than that, whichever gateways are taken for failed.
+     */
+    fun toleratedTokens(
+        maxTokens: Long,
+        isGone: (BudgetClaim) -> Boolean,
+    ): Long = minOf(maxTokens, otherClaims.filter(isGone).sumOf { it.pendingTokens })
+
     /** The number of other holders whose claims exceed what they have spent and what their turns in progress need. */
     val unsettledClaimCount: Int
         get() = otherClaims.count { it.aheadTokens > 0 }
@@ -175,17 +189,24 @@
     }
 
     /**
-     * Whether turns that are known to have run or to be in progress leave less than [maxTokens] of [budgetTokens].
+     * Whether turns that are known to have run, to be in progress or to have been broken off leave less than [maxTokens] of
+     * [budgetTokens].
+     *
+     * A gateway that is not gone has released what its turns in progress do not need. The turns of one that has been gone for
+     * at least [settledAfter] can't be stored any more and count at their most, but for what is tolerated.
      *
-     * A gateway for which [isRegistered] is true has released what its turns in progress do not need.
+     * @param goneFor returns for how long the holder of a claim has been gone, or null if it is not
      */
     fun isExhausted(
         budgetTokens: Long,
         maxTokens: Long,
-        isRegistered: (BudgetClaim) -> Boolean,
+        settledAfter: Duration,
+        goneFor: (BudgetClaim) -> Duration?,
     ): Boolean {
-        val ownTokens = usedTokens + maxTokens
-        val otherTokens = otherClaims.sumOf { if (isRegistered(it)) it.tokens else it.spentTokens }
-        return ownTokens + otherTokens > budgetTokens
+        val (gone, alive) = otherClaims.partition { goneFor(it) != null }
+        val settled = gone.filter { claim -> goneFor(claim).let { it != null && it >= settledAfter } }
+        val brokenOffTokens = settled.sumOf { it.pendingTokens }
+        val otherTokens = alive.sumOf { it.tokens } + gone.sumOf { it.spentTokens } + brokenOffTokens
+        return usedTokens + maxTokens + otherTokens - minOf(maxTokens, brokenOffTokens) > budgetTokens
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
@@ -25,6 +25,7 @@
 internal class CallDispatcher(
     private val scheduler: TargetScheduler,
     private val attempts: TargetAttempts,
+    private val reservations: TurnReservations,
     private val quarantine: RequestQuarantine,
     private val listeners: List<AttemptListener>,
     private val clock: Clock,
@@ -34,7 +35,12 @@
     suspend fun dispatch(call: RoutedCall): Either<Refusal, AttemptResult.Responded> {
         var mayHaveRun = false
         repeat(MAX_ATTEMPTS) {
-            val target = scheduler.acquire(requirementsOf(call)).getOrElse { return refused(it, mayHaveRun).left() }
+            val required = requirementsOf(call)
+            val target = scheduler.acquire(required).getOrElse { return refused(it, mayHaveRun).left() }
+            if (reservations.isDue(call)) {
+                reserve(call, target)?.let { return refused(it, mayHaveRun).left() }
+                if (!scheduler.isStillUsable(required, target)) return@repeat scheduler.withdraw(target)
+            }
             when (val result = attempt(call, target)) {
                 is AttemptResult.Responded -> return result.right()
                 is AttemptResult.TimedOut -> return timedOut().left()
@@ -49,6 +55,18 @@
         return refused(attemptsExhausted(), mayHaveRun).left()
     }
 
+    /** Reserves the tokens of [call], which has a slot at [target]; gives the slot back and returns why if that fails. */
+    private suspend fun reserve(
+        call: RoutedCall,
+        target: Target,
+    ): Refusal? {
+        try {
+            return reservations.reserve(call)
+        } finally {
+            if (call.reservation == null) scheduler.withdraw(target)
+        }
+    }
+
     private suspend fun attempt(
         call: RoutedCall,
         target: Target,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
@@ -25,7 +25,7 @@
 import org.chestnutloom.id.CallId
 import kotlin.random.Random
 
-/** Builds calls: selects the service, loads the chain of a turn and reserves its tokens. */
+/** Builds calls: selects the service, loads the chain of a turn, and reserves the tokens of one that is not stored. */
 internal class CallFactory(
     private val budgets: BudgetAllocator,
     private val turns: TurnStore,
@@ -49,6 +49,8 @@
         val callerDeadline = request.receivedAt + (head.callerTimeout ?: route.timeout)
         if (shutdownDeadline.isBefore(callerDeadline)) raise(stopping())
         val chain = loadChain(route, account, head)
+        val tokens = tokensOf(id, route, head, account)
+        val reservation = releasingOnFailure(chain) { tokens?.let { reserveOrCheck(it) } }
         return RoutedCall(
             id = id,
             request = request,
@@ -61,8 +63,9 @@
             callerDeadline = callerDeadline,
             body = chain?.requestBody(request.body) ?: RequestBody(listOf(request.body)),
             chain = chain,
-            reservation = releasingOnFailure(chain) { reserveTokens(id, route, head, account) },
-        )
+            tokens = tokens,
+            startsProgram = reservation?.startsProgram ?: (tokens != null && startsProgram(tokens, head)),
+        ).also { it.reservation = reservation }
     }
 
     /** Returns the result of [block], or releases [chain], which then belongs to no call. */
@@ -110,22 +113,36 @@
                 Refusal(RefusalCode.OVERLOADED, Execution.NOT_RUN, "No memory is free for the turns.", MEMORY_RETRY_MS)
         }
 
-    private suspend fun Raise<Refusal>.reserveTokens(
+    private fun Raise<Refusal>.tokensOf(
         id: CallId,
         route: Route,
         head: CallHead,
         account: AccountSettings?,
-    ): Reservation? {
+    ): TurnTokens? {
         if (route.kind != RouteKind.STREAMING) return null
         val program = head.program ?: return null
         val budgetTokens = head.tokenBudget ?: return null
         val key = BudgetKey(program, account?.id)
         if (!key.isStorable) raise(badRequest("The program's id is too long."))
-        return budgets
-            .reserve(TurnTokens(key, id, budgetTokens, head.maxOutputTokens, route.isRetained))
-            .bind()
+        return TurnTokens(key, id, budgetTokens, head.maxOutputTokens, route.isRetained)
     }
 
+    /**
+     * Reserves [tokens] of a turn that will not be stored. Those of a stored turn are reserved when it is sent to a target;
+     * here it is refused if it can be known already that none are left.
+     */
+    private suspend fun Raise<Refusal>.reserveOrCheck(tokens: TurnTokens): Reservation? {
+        if (!tokens.isStored) return budgets.reserve(tokens).bind()
+        budgets.check(tokens)?.let { raise(it) }
+        return null
+    }
+
+    /** Returns whether a turn that will be stored is the first one of its program, as far as this gateway knows. */
+    private fun startsProgram(
+        tokens: TurnTokens,
+        head: CallHead,
+    ): Boolean = head.previousTurn == null && budgets.isUnused(tokens.key)
+
     private fun badRequest(detail: String): Refusal = Refusal(RefusalCode.BAD_REQUEST, Execution.NOT_RUN, detail)
 
     /** Refuses a call that might still be running when this gateway exits, so that the caller uses another gateway. */
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RoutedCall.kt
@@ -1,6 +1,7 @@
 package org.chestnutloom.edge.call
 
 import org.chestnutloom.edge.budget.Reservation
+import org.chestnutloom.edge.budget.TurnTokens
 import org.chestnutloom.edge.config.AccountSettings
 import org.chestnutloom.edge.config.Route
 import org.chestnutloom.edge.config.Service
@@ -23,7 +24,9 @@
  * @property callerDeadline when the caller stops waiting, on the monotonic clock
  * @property body the request body to send to the target
  * @property chain the turns before this one, on routes that retain turns
- * @property reservation the tokens reserved from the program's budget, or null without a budget
+ * @property tokens the tokens that the program's budget must have before the call is sent to a target, or null without a
+ *   budget
+ * @property startsProgram whether this is the first turn of its program, as far as this gateway knows
  */
 internal class RoutedCall(
     val id: CallId,
@@ -37,8 +40,12 @@
     val callerDeadline: Duration,
     val body: RequestBody,
     val chain: TurnChain?,
-    val reservation: Reservation?,
+    val tokens: TurnTokens?,
+    val startsProgram: Boolean,
 ) {
+    /** The tokens reserved from the program's budget, or null if none are. */
+    var reservation: Reservation? = null
+
     /** How long the caller waits in total. */
     val callerTimeout: Duration
         get() = callerDeadline - request.receivedAt
@@ -64,10 +71,6 @@
     /** Identifies the request across retries by its caller. */
     val fingerprint: RequestFingerprint by lazy(LazyThreadSafetyMode.NONE) { fingerprintOf(request, account?.id) }
 
-    /** Whether this is the first turn of its program, as far as this gateway knows. */
-    val startsProgram: Boolean
-        get() = reservation?.startsProgram == true
-
     /** The request's priority; 0 is the highest. */
     val priority: Int
         get() = account?.priority ?: route.priority
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/Fleet.kt
@@ -14,6 +14,7 @@
 import org.chestnutloom.id.Incarnation
 import org.chestnutloom.time.Clock
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
@@ -35,6 +36,7 @@
     private val random: Random,
 ) {
     private val peersById = LinkedHashMap<GatewayId, Peer>()
+    private val departed = DepartedIncarnations(clock)
     private val silence = SilenceDetector(clock, listener)
     private val receivers = HeartbeatReceivers(random)
     private val toRelay = LinkedHashSet<Peer>()
@@ -93,6 +95,16 @@
     /** Returns all gateways, this one included, in the order in which they follow [key] on the hash ring. */
     internal fun successorsOf(key: String): ImmutableList<GatewayId> = topology.successorsOf(key)
 
+    /** Returns for how long [incarnation] of [gateway] is known not to be registered, or null if it is registered. */
+    internal fun goneFor(
+        gateway: GatewayId,
+        incarnation: Incarnation,
+    ): Duration? {
+        if (!isMembershipKnown) return Duration.ZERO
+        val isRegistered = peersById[gateway]?.member?.incarnation == incarnation
+        return if (isRegistered) null else departed.goneFor(gateway, incarnation)
+    }
+
     /** Sends heartbeats until the scope ends. */
     public fun start() {
         scope.launch { runHeartbeats() }
@@ -138,7 +150,10 @@
             peersById[member.gateway] = Peer(registered, clock.elapsed())
             logger.event("peer_found", "gateway" to member.gateway, "address" to member.address.host)
         } else {
-            if (member.incarnation != known.member.incarnation) forgetOldIncarnation(known, member.incarnation)
+            if (member.incarnation != known.member.incarnation) {
+                departed.add(member.gateway, known.member.incarnation)
+                forgetOldIncarnation(known, member.incarnation)
+            }
             known.registered = registered
             // The gateway has just written its row, so it is alive even if its first heartbeat has not arrived yet.
             known.missedHeartbeats = 0
@@ -170,6 +185,7 @@
     private fun removePeer(id: GatewayId) {
         val removed = peersById.remove(id) ?: return
         toRelay -= removed
+        departed.add(id, removed.member.incarnation)
         logger.event("peer_gone", "gateway" to id)
         listener.peerUnregistered(id)
     }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetBudgetPeers.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/FleetBudgetPeers.kt
@@ -8,6 +8,7 @@
 import org.chestnutloom.edge.budget.BudgetPeers
 import org.chestnutloom.wire.message.Done
 import org.chestnutloom.wire.message.TrimBudget
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Asks the other gateways of the fleet to record what they have spent of budgets. */
@@ -24,7 +25,7 @@
         return replies.all { it }
     }
 
-    override fun isRegistered(claim: BudgetClaim): Boolean = fleet.peers.any { isHeldBy(claim, it.member) }
+    override fun goneFor(claim: BudgetClaim): Duration? = fleet.goneFor(claim.gateway, claim.incarnation)
 
     private suspend fun requestSettlement(
         holder: Peer,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/TargetScheduler.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/target/TargetScheduler.kt
@@ -140,7 +140,7 @@
     }
 
     /** Releases the slot of a request that will not be sent to [target]. */
-    private fun withdraw(target: Target) {
+    public fun withdraw(target: Target) {
         policy.listeners.forEach { it.withdrawn(target) }
         release(target)
     }
@@ -189,6 +189,12 @@
         usable: List<Target>,
     ): Double = ahead * request.serviceMs / usable.sumOf { it.entry.slots }.coerceAtLeast(1)
 
+    /** Returns whether [target] may still get the request, which has waited since [acquire] returned. */
+    public fun isStillUsable(
+        required: TargetRequirements,
+        target: Target,
+    ): Boolean = directory.ready(required.service).any { it === target } && isStillAllowed(required, target)
+
     /** Returns whether [target] may still get the request, which waited after the slot was assigned. */
     private fun isStillAllowed(
         required: TargetRequirements,
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetAllocatorSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetAllocatorSpec.kt
@@ -12,6 +12,7 @@
 import org.chestnutloom.id.ClientAccountId
 import org.chestnutloom.id.ProgramId
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
 
 private const val MAX_TOKENS = 100L
 private const val BUDGET = 8 * MAX_TOKENS
@@ -221,6 +222,33 @@
                 (1..20).count { b.runStoredTurn(MAX_TOKENS) } shouldBe 7
             }
 
+            // Guards against a program that is refused for good for a turn which its gateway never sent (review/14).
+            it("can use its whole budget after a gateway has failed with a turn that it had not sent") {
+                gateways.start("a").reserveTurn(isStored = true).isRight() shouldBe true
+                gateways.kill("a")
+                val b = gateways.start("b")
+                (1..10).count { b.runStoredTurn(MAX_TOKENS) } shouldBe 8
+            }
+
+            // Guards against gateways that each let a turn exceed the budget.
+            it("exceeds it by one turn at most, whichever gateways have failed in the middle of turns") {
+                repeat(3) { gateways.start("a", incarnation = "$it").reserveTurn(isStored = true) }
+                repeat(3) { gateways.kill("a", incarnation = "$it") }
+                val others = listOf("b", "c").map(gateways::start)
+                (1..20).count { others[it % 2].runStoredTurn(MAX_TOKENS) } shouldBe 6
+            }
+
+            // Guards against a program that is neither served nor refused for good after its turns were broken off.
+            it("is refused as exhausted once the turns of failed gateways can't end any more") {
+                repeat(2) { gateways.start("a", incarnation = "$it").reserveTurn(isStored = true) }
+                repeat(2) { gateways.kill("a", incarnation = "$it") }
+                val b = gateways.start("b")
+                (1..10).count { b.runStoredTurn(MAX_TOKENS) } shouldBe 7
+                b.reserveTurn(isStored = true).leftOrNull()?.code shouldBe RefusalCode.BUDGET_UNSETTLED
+                gateways.goneFor = 3.seconds
+                b.reserveTurn(isStored = true).leftOrNull()?.code shouldBe RefusalCode.BUDGET_EXHAUSTED
+            }
+
             // Guards against a final refusal of a program whose budget may not be spent.
             it("is refused as unsettled, not as exhausted, while failed gateways may not have spent the rest") {
                 listOf("a", "b", "c").forEach { name ->
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetGateways.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetGateways.kt
@@ -7,6 +7,7 @@
 import org.chestnutloom.id.CallId
 import org.chestnutloom.id.GatewayId
 import org.chestnutloom.id.Incarnation
+import kotlin.time.Duration
 
 /** Gateways of one fleet that share a store and record what they have spent when another gateway asks. */
 @OptIn(ExperimentalCoroutinesApi::class)
@@ -31,7 +32,7 @@
                 return !areHoldersUnresponsive
             }
 
-            override fun isRegistered(claim: BudgetClaim): Boolean = peerWith(claim) != null
+            override fun goneFor(claim: BudgetClaim): Duration? = if (peerWith(claim) != null) null else goneFor
 
             private fun peerWith(claim: BudgetClaim): BudgetAllocator? =
                 allocators[keyOf(claim)].takeIf { keyOf(claim) != own }
@@ -40,6 +41,9 @@
     /** Whether gateways that hold claims do not reply in time. */
     var areHoldersUnresponsive = false
 
+    /** For how long gateways that were killed have been gone. */
+    var goneFor = Duration.ZERO
+
     private fun keyOf(claim: BudgetClaim) = "${claim.gateway}/${claim.incarnation}"
 
     fun start(
--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetModelSpec.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetModelSpec.kt
@@ -8,10 +8,13 @@
     listOf(
         BudgetEvent.Begin(gateway, isRetained = true),
         BudgetEvent.Begin(gateway, isRetained = false),
+        BudgetEvent.Claim(gateway),
+        BudgetEvent.Send(gateway),
         BudgetEvent.End(gateway),
         BudgetEvent.Break(gateway),
         BudgetEvent.Kill(gateway),
-        BudgetEvent.Pause(gateway),
+        BudgetEvent.Pause(gateway, isUnregistered = false),
+        BudgetEvent.Pause(gateway, isUnregistered = true),
         BudgetEvent.Evict(gateway),
     )
 
@@ -79,7 +82,8 @@
                 firstRandomViolation(ALL_EVENTS, seeds = 2_000, checksServed = false) shouldBe null
             }
 
-            // Guards against programs that are refused for good after their gateways have failed (review/8).
+            // Guards against programs that are refused for good after their gateways have failed, also with turns that had not
+            // been sent to a target yet (review/8, review/14).
             it("leave all of its room to turns in all short sequences of kills and pauses") {
                 firstViolation(CERTAIN_EVENTS, length = 4, checksServed = true) shouldBe null
             }
--- a/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/RowStoreStandIn.kt
+++ b/chestnutloom-fakes/src/main/kotlin/org/chestnutloom/fakes/edge/RowStoreStandIn.kt
@@ -65,8 +65,11 @@
         rows.transact(emptyList(), listOf(VersionedRow(table, "", key, value, version = 0)), emptyList())
     }
 
-    /** Returns the keys of the rows of [table], except those in a named partition. */
-    public fun keys(table: String): List<String> = rows.read(table, "").map { it.key }
+    /** Returns the keys of the rows in [partition] of [table]. */
+    public fun keys(
+        table: String,
+        partition: String = "",
+    ): List<String> = rows.read(table, partition).map { it.key }
 
     /** Removes the row [key] of [table]. */
     public fun remove(
