Log how old the configuration was that decided a request

The request's log line had the version, but not since when the store had last confirmed it; it now has configuration_age_ms.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -66,6 +66,7 @@
         context.head = head
         val configuration = configurations.awaitCurrent() ?: raise(stale("No configuration has been read yet."))
         context.configurationVersion = configuration.version
+        context.configurationAge = configurations.age
         val route = resolveRoute(configuration, request)
         context.route = route
         val account = authenticate(configuration, route, head)
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RequestLog.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RequestLog.kt
@@ -24,6 +24,7 @@
             "program" to (context.head?.program ?: "none"),
             "previous" to (context.head?.previousTurn ?: "none"),
             "configuration" to context.configurationVersion,
+            "configuration_age_ms" to (context.configurationAge?.inWholeMilliseconds ?: "none"),
             "target" to (context.call?.lastTarget ?: "none"),
             "runs" to context.runs,
             "status" to context.status,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RequestLogContext.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/RequestLogContext.kt
@@ -13,6 +13,9 @@
 ) {
     var head: CallHead? = null
     var configurationVersion: Long = 0
+
+    /** The time between the store's last answer about the configuration and the request; null without one. */
+    var configurationAge: Duration? = null
     var route: Route? = null
     var account: AccountSettings? = null
 
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/config/ConfigurationHolder.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/config/ConfigurationHolder.kt
@@ -25,7 +25,11 @@
 
     /** Whether the store recently confirmed that there is no newer version. */
     public val isFresh: Boolean
-        get() = confirmedAt.let { it != null && clock.elapsed() - it < MAX_CONFIRMATION_AGE }
+        get() = age.let { it != null && it < MAX_CONFIRMATION_AGE }
+
+    /** The time since the store confirmed that there is no newer version, or null if it never has. */
+    internal val age: Duration?
+        get() = confirmedAt?.let { clock.elapsed() - it }
 
     /**
      * Returns the current configuration, or null when there is none.
