Read the configuration again for a turn that it can't continue

For 2.5 s after the store's last answer a configuration counted as current, and the lack of a route, or of a route that retains turns, as certain. A request that names an earlier turn shows that a newer configuration has such a route.

Change: if the configuration has no route that retains turns for such a request, or not its key, the gateway reads it from the store, through another gateway if need be, in a read that begins after the call came. What the newer configuration says is final. The lookup of routes and accounts moves from CallService to RouteResolver.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -19,6 +19,7 @@
 import org.chestnutloom.edge.call.CallService
 import org.chestnutloom.edge.call.CompletionCheck
 import org.chestnutloom.edge.call.ResponseRelay
+import org.chestnutloom.edge.call.RouteResolver
 import org.chestnutloom.edge.call.ShutdownDeadline
 import org.chestnutloom.edge.call.TargetAttempts
 import org.chestnutloom.edge.call.TurnReservations
@@ -32,6 +33,7 @@
 import org.chestnutloom.edge.feed.EvacuationListener
 import org.chestnutloom.edge.feed.MemberListener
 import org.chestnutloom.edge.feed.MembershipListener
+import org.chestnutloom.edge.feed.StoreConfigurationRefresher
 import org.chestnutloom.edge.feed.TableListener
 import org.chestnutloom.edge.feed.TableListeners
 import org.chestnutloom.edge.feed.TableWatcher
@@ -198,6 +200,15 @@
             ConfigurationListener(adapter.rowDecoder, configurations),
         )
 
+    private fun configurationRefresher() =
+        StoreConfigurationRefresher(
+            store,
+            adapter.rowDecoder.configurationTable,
+            ConfigurationListener(adapter.rowDecoder, configurations),
+            clock,
+            loop.scope,
+        )
+
     private fun registerGauges() {
         scheduling.registerGauges()
         memory.registerGauges(metrics)
@@ -267,7 +278,7 @@
                 loop.scope,
             )
         return CallService(
-            configurations,
+            RouteResolver(configurations, configurationRefresher()),
             adapter.callCodec,
             AccountAdmission(heartbeats.quotas, prefetch),
             turns,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
@@ -11,7 +11,6 @@
 import org.chestnutloom.edge.budget.TurnTokens
 import org.chestnutloom.edge.config.AccountSettings
 import org.chestnutloom.edge.config.Destination
-import org.chestnutloom.edge.config.EdgeConfiguration
 import org.chestnutloom.edge.config.Route
 import org.chestnutloom.edge.config.RouteKind
 import org.chestnutloom.edge.http.CallerExchange
@@ -32,19 +31,19 @@
     private val random: Random,
     private val shutdownDeadline: ShutdownDeadline,
 ) {
-    /** Returns the call of [request] on [route], or refuses it as not run. */
+    /** Returns the call of [request] on the route of [resolved], or refuses it as not run. */
     suspend fun Raise<Refusal>.create(
-        configuration: EdgeConfiguration,
-        route: Route,
-        account: AccountSettings?,
+        resolved: ResolvedRoute,
         request: CallerRequest,
         exchange: CallerExchange,
         head: CallHead,
     ): RoutedCall {
+        val route = resolved.route
+        val account = resolved.account
         val id = head.id ?: raise(badRequest("The request has no id."))
         if (route.isRetained && !StoreLimits.allowsName(id.value)) raise(badRequest("The request's id is too long."))
         val service =
-            configuration.services[pickDestination(route).service]
+            resolved.configuration.services[pickDestination(route).service]
                 ?: raise(Refusal(RefusalCode.UNKNOWN_SERVICE, Execution.NOT_RUN, "The service is not configured."))
         val callerDeadline = request.receivedAt + (head.callerTimeout ?: route.timeout)
         if (shutdownDeadline.isBefore(callerDeadline)) raise(stopping())
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallService.kt
@@ -7,9 +7,6 @@
 import org.chestnutloom.call.Refusal
 import org.chestnutloom.call.RefusalCode
 import org.chestnutloom.edge.config.AccountSettings
-import org.chestnutloom.edge.config.ConfigurationHolder
-import org.chestnutloom.edge.config.EdgeConfiguration
-import org.chestnutloom.edge.config.Route
 import org.chestnutloom.edge.crash.RequestQuarantine
 import org.chestnutloom.edge.http.CallerExchange
 import org.chestnutloom.edge.http.CallerHandler
@@ -23,7 +20,7 @@
 
 /** Handles callers' requests: selects the route, checks quotas and budgets, and dispatches to a target. */
 internal class CallService(
-    private val configurations: ConfigurationHolder,
+    private val routes: RouteResolver,
     private val codec: CallCodec,
     private val admission: AccountAdmission,
     private val turns: TurnStore,
@@ -64,14 +61,9 @@
     ): Boolean {
         val head = codec.head(request)
         context.head = head
-        val configuration = configurations.awaitCurrent() ?: raise(stale("No configuration has been read yet."))
-        context.configurationVersion = configuration.version
-        context.configurationAge = configurations.age
-        val route = resolveRoute(configuration, request)
-        context.route = route
-        val account = authenticate(configuration, route, head)
-        context.account = account
-        val call = with(calls) { create(configuration, route, account, request, exchange, head) }
+        val resolved = with(routes) { resolve(request, head, context) }
+        val account = resolved.account
+        val call = with(calls) { create(resolved, request, exchange, head) }
         context.call = call
         if (quarantine.hasCrashes) quarantine.admit(call.fingerprint)?.let { raise(quarantined(it)) }
         account?.let { admit(it, call, context) }
@@ -101,27 +93,6 @@
         return isSaved
     }
 
-    private fun Raise<Refusal>.resolveRoute(
-        configuration: EdgeConfiguration,
-        request: CallerRequest,
-    ): Route {
-        configuration.routeOf(request.host, request.path)?.let { return it }
-        if (!configurations.isFresh) raise(stale("No route matches, and the configuration may be outdated."))
-        raise(Refusal(RefusalCode.NOT_FOUND, Execution.NOT_RUN, "No route matches."))
-    }
-
-    private fun Raise<Refusal>.authenticate(
-        configuration: EdgeConfiguration,
-        route: Route,
-        head: CallHead,
-    ): AccountSettings? {
-        if (configuration.accounts == null) return null
-        head.accessKey?.let(configuration::accountOf)?.let { return it }
-        if (route.isPublic) return null
-        if (!configurations.isFresh) raise(stale("The access key is unknown, and the configuration may be outdated."))
-        raise(Refusal(RefusalCode.UNAUTHORIZED, Execution.NOT_RUN, "The access key is missing or not valid."))
-    }
-
     private suspend fun Raise<Refusal>.admit(
         account: AccountSettings,
         call: RoutedCall,
@@ -144,9 +115,6 @@
             remaining.inWholeMilliseconds,
         )
 
-    private fun stale(detail: String): Refusal =
-        Refusal(RefusalCode.GATEWAY_STALE, Execution.NOT_RUN, detail, STALE_RETRY_MS)
-
     private fun refuse(
         refusal: Refusal,
         exchange: CallerExchange,
@@ -163,7 +131,6 @@
         /** A request over its account's rate waits for at most the caller's timeout divided by this number. */
         private const val RATE_LIMIT_WAIT_DIVISOR = 4
         private val MAX_RATE_LIMIT_WAIT = 1.seconds
-        private const val STALE_RETRY_MS = 500L
         private val EMPTY_BODY = ByteArray(0)
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnReads.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/turn/TurnReads.kt
@@ -16,8 +16,10 @@
  * loop.
  *
  * Calls that continue the same turn share what is read. That it does not exist is shared only with calls that came before
- * the read began: others may continue a turn that was stored after the store had looked for it. A long turn waits for other long ones, and leaves room for short
- * ones, so that the calls of other accounts do not wait for it.
+ * the read began: others may continue a turn that was stored after the store had looked for it.
+ *
+ * A long turn waits for other long ones, and leaves room for short ones, so that the calls of other accounts do not wait for
+ * it.
  */
 internal class TurnReads(
     private val clock: Clock,
