Split the refusals of budgets and the gauges from large files

BudgetRefusals decides how a turn without tokens is refused, EdgeGauges registers the gauges of the fleet and the store, and HealthHandler answers readiness. The row of a budget is read a second time only if registered gateways were asked to settle. The tests of budgets pass as before (29).

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/EdgeNode.kt
@@ -2,7 +2,6 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.micrometer.core.instrument.MeterRegistry
-import io.netty.handler.codec.http.DefaultHttpHeaders
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
@@ -54,7 +53,6 @@
 import org.chestnutloom.edge.fleet.QuotaRequest
 import org.chestnutloom.edge.fleet.RelayingRowStore
 import org.chestnutloom.edge.fleet.withAppliedWork
-import org.chestnutloom.edge.http.CallerHandler
 import org.chestnutloom.edge.http.ConnectionPool
 import org.chestnutloom.edge.http.EdgeLoop
 import org.chestnutloom.edge.http.HttpConnector
@@ -117,12 +115,7 @@
     private val availability = scheduling.availability
     private val scheduler = scheduling.scheduler
     private val quarantine =
-        RequestQuarantine(
-            { connector.isConnectionRefused(it.address) },
-            { suspectTrials.claim(it) },
-            clock,
-            loop.scope,
-        )
+        RequestQuarantine({ connector.isConnectionRefused(it.address) }, { suspectTrials.claim(it) }, clock, loop.scope)
     private val heartbeats: HeartbeatExchange =
         HeartbeatExchange(
             settings.self,
@@ -158,9 +151,10 @@
         )
     private val memberRegistry = MemberRegistry(store, self, memberCodec)
     private val shutdownDeadline = ShutdownDeadline()
-    private val limits = IngressLimits { configurations.current?.limits ?: INITIAL_LIMITS }
+    private val limits = IngressLimits { configurations.current?.limits ?: RequestLimits.INITIAL }
     private val ingress = IngressServer(settings.callerAddress, loop, callService(), limits, memory.bodies, clock)
-    private val health = IngressServer(settings.healthAddress, loop, healthHandler(), limits, memory.bodies, clock)
+    private val health =
+        IngressServer(settings.healthAddress, loop, healthHandler { isReady }, limits, memory.bodies, clock)
     private var ingressPort: Int? = null
 
     override val isReady: Boolean
@@ -212,14 +206,7 @@
     private fun registerGauges() {
         scheduling.registerGauges()
         memory.registerGauges(metrics)
-        metrics.gauge("chestnutloom.edge.turns.unsaved", turns) { it.unsavedCount.toDouble() }
-        metrics.gauge("chestnutloom.edge.fleet.size", fleet) { it.size.toDouble() }
-        metrics.gauge("chestnutloom.edge.fleet.unresponsive", fleet) { it.unresponsiveCount.toDouble() }
-        metrics.gauge(
-            "chestnutloom.edge.configuration.version",
-            configurations,
-        ) { (it.current?.version ?: 0).toDouble() }
-        metrics.gauge("chestnutloom.edge.store.lost", storeHealth) { if (it.isFailing) 1.0 else 0.0 }
+        registerEdgeGauges(metrics, turns, fleet, configurations, storeHealth)
     }
 
     override suspend fun stopGracefully() {
@@ -290,11 +277,6 @@
         )
     }
 
-    private fun healthHandler() =
-        CallerHandler { _, exchange ->
-            exchange.respond(if (isReady) STATUS_OK else STATUS_UNAVAILABLE, DefaultHttpHeaders(), EMPTY_BODY)
-        }
-
     private fun cacheTokensOf(service: String): Long =
         configurations.current
             ?.services
@@ -310,20 +292,8 @@
         private val SETTLE_TIMEOUT = 500.milliseconds
         private val UNREGISTER_TIMEOUT = 250.milliseconds
         private val DRAIN_POLL_INTERVAL = 20.milliseconds
-        private const val STATUS_OK = 200
-        private const val STATUS_UNAVAILABLE = 503
 
         /** For services that have no engine or are not configured. */
         private const val DEFAULT_CACHE_TOKENS = 400_000L
-        private val EMPTY_BODY = ByteArray(0)
-
-        /** Apply until the first configuration is read. */
-        private val INITIAL_LIMITS =
-            RequestLimits(
-                maxHeaderBytes = 16_384,
-                maxBodyBytes = 4 * 1024 * 1024,
-                headerTimeout = 3.seconds,
-                idleTimeout = 15.seconds,
-            )
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/budget/BudgetAllocator.kt
@@ -12,15 +12,10 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.withLock
-import org.chestnutloom.call.Execution
 import org.chestnutloom.call.Refusal
-import org.chestnutloom.call.RefusalCode
-import org.chestnutloom.common.log.event
 import org.chestnutloom.common.log.warnEvent
 import org.chestnutloom.edge.store.ChangeFailure
-import org.chestnutloom.edge.store.storeUnavailable
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
 
@@ -49,6 +44,8 @@
     private val scope: CoroutineScope,
     private val maxPrograms: Int = MAX_PROGRAMS,
 ) {
+    private val refusals = BudgetRefusals(peers)
+
     /** The number of budgets that were ever created. */
     private var generations = 0L
 
@@ -199,10 +196,10 @@
                 write(request.key, budget, claim) ?: return null.also { start(request.key, budget, reservation) }
             if (failure is ChangeFailure.Failed) {
                 writeSoon(request.key, budget)
-                return claimFailed(request.key, failure)
+                return refusals.claimFailed(request.key, failure)
             }
         }
-        return contended()
+        return refusals.contended()
     }
 
     /** Returns why no tokens are left for [request], or null if some are according to the row as last read. */
@@ -211,13 +208,14 @@
         budget: ProgramBudget,
     ): Refusal? {
         if (hasRoom(request, budget)) return null
-        readSettled(request, budget)?.let { return claimFailed(request.key, it) }
+        readSettled(request, budget)?.let { return refusals.claimFailed(request.key, it) }
         if (hasRoom(request, budget)) return null
-        val arePeersSettled = peers.settle(request.key, budget.otherClaims)
-        readSettled(request, budget)?.let { return claimFailed(request.key, it) }
+        val claims = budget.otherClaims.filter { peers.goneFor(it) == null }
+        val arePeersSettled = claims.isEmpty() || peers.settle(request.key, claims)
+        if (claims.isNotEmpty()) readSettled(request, budget)?.let { return refusals.claimFailed(request.key, it) }
         val toleratedTokens = budget.toleratedTokens(request.maxTokens) { peers.goneFor(it) != null }
         if (hasRoom(request, budget, toleratedTokens)) return null
-        return if (arePeersSettled) noneLeft(request, budget) else contended()
+        return if (arePeersSettled) refusals.noneLeft(request, budget) else refusals.contended()
     }
 
     private fun hasRoom(
@@ -270,46 +268,6 @@
         return rows.write(key, budget, claim)
     }
 
-    /** Refuses a turn for which the claims of gateways leave no room. */
-    private fun noneLeft(
-        request: TurnTokens,
-        budget: ProgramBudget,
-    ): Refusal {
-        val isExhausted = budget.isExhausted(request.budgetTokens, request.maxTokens, SETTLED_AFTER, peers::goneFor)
-        logger.event(
-            if (isExhausted) "budget_exhausted" else "budget_unsettled",
-            "program" to request.key.program,
-            "budget" to request.budgetTokens,
-            "needed" to request.maxTokens,
-            "claimed" to request.budgetTokens - budget.freeTokens(request.budgetTokens),
-            "claimed_by_others" to budget.otherClaims.sumOf { it.tokens },
-            "pending_at_others" to budget.otherClaims.flatMap { it.pending }.joinToString(" ") { it.turn.value },
-            "others_gone_ms" to budget.otherClaims.joinToString(" ") { "${peers.goneFor(it)?.inWholeMilliseconds}" },
-        )
-        if (!isExhausted) return unsettled()
-        return Refusal(RefusalCode.BUDGET_EXHAUSTED, Execution.NOT_RUN, "The program's token budget is exhausted.")
-    }
-
-    private fun claimFailed(
-        key: BudgetKey,
-        failure: ChangeFailure.Failed,
-    ): Refusal {
-        logger.warnEvent("budget_claim_failed", "program" to key.program, "cause" to failure.cause)
-        return storeUnavailable("The budget cannot be reserved in the store.")
-    }
-
-    private fun contended(): Refusal =
-        storeUnavailable("The budget is being reserved by another gateway.").copy(retryAfterMs = CONTENDED_RETRY_MS)
-
-    /** Refuses a turn whose tokens may or may not have been spent by gateways that failed. */
-    private fun unsettled(): Refusal =
-        Refusal(
-            RefusalCode.BUDGET_UNSETTLED,
-            Execution.NOT_RUN,
-            "The rest of the program's token budget is claimed by gateways that have failed.",
-            CONTENDED_RETRY_MS,
-        )
-
     private companion object {
         private const val INITIAL_PROGRAMS = 64
         private const val LOAD_FACTOR = 0.75f
@@ -319,9 +277,6 @@
         private const val MAX_UNSETTLED_PROGRAMS = 1_000
         private const val MAX_ATTEMPTS = 8
 
-        /** Another gateway writes its claim within this time. */
-        private const val CONTENDED_RETRY_MS = 500L
-
         /** A claim exceeds the current need, which the caller states, by at most the budget divided by this number. */
         private const val PREALLOCATION_DIVISOR = 3L
 
@@ -330,9 +285,6 @@
 
         private const val CONCURRENT_SETTLEMENTS = 32
         private const val SETTLE_TRIES = 5
-
-        /** A turn of a gateway that is not registered any more has been stored by then, or its caller has left. */
-        private val SETTLED_AFTER = 2.seconds
         private val SETTLE_RETRY_DELAY = 1_000.milliseconds
     }
 }
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/config/RequestLimits.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/config/RequestLimits.kt
@@ -1,6 +1,7 @@
 package org.chestnutloom.edge.config
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Limits on callers' requests and connections.
@@ -13,4 +14,15 @@
     public val maxBodyBytes: Int,
     public val headerTimeout: Duration,
     public val idleTimeout: Duration,
-)
+) {
+    internal companion object {
+        /** Apply until the first configuration is read. */
+        val INITIAL =
+            RequestLimits(
+                maxHeaderBytes = 16_384,
+                maxBodyBytes = 4 * 1024 * 1024,
+                headerTimeout = 3.seconds,
+                idleTimeout = 15.seconds,
+            )
+    }
+}
