Check a turn's budget headers before its chain is loaded

Since the tokens of a turn are computed apart from their reservation, a turn whose program id is too long was refused with 400 after its chain had been loaded, and the chain was never released, so that its bytes counted until the process ended. Found by reading the change; no caller saw it. The headers are checked first now, which loads nothing for such a turn.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallFactory.kt
@@ -47,8 +47,8 @@
                 ?: raise(Refusal(RefusalCode.UNKNOWN_SERVICE, Execution.NOT_RUN, "The service is not configured."))
         val callerDeadline = request.receivedAt + (head.callerTimeout ?: route.timeout)
         if (shutdownDeadline.isBefore(callerDeadline)) raise(stopping())
-        val chain = loadChain(route, account, head)
         val tokens = tokensOf(id, route, head, account)
+        val chain = loadChain(route, account, head)
         val reservation = releasingOnFailure(chain) { tokens?.let { reserveOrCheck(it) } }
         return RoutedCall(
             id = id,
