Send a quarantined request to one target in each trial

What would have been seen: the trial of an idempotent request crashed as many targets as its route allows attempts, as the gateway sent it to the next one by itself after each crash.

Cause: the dispatcher repeats an idempotent call whose target was lost, whatever is known of the request.

Change: a call whose request is quarantined when its target is lost is not sent again.

Test: RepeatedInputSpec, "crashes one target in its first trial": 3 of 3 targets crashed before the change, 1 of 3 with it.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
@@ -48,13 +48,19 @@
                 is AttemptResult.Lost -> {
                     mayHaveRun = true
                     call.excludedTargets += target.entry.id
-                    if (!call.route.isIdempotent || call.runs >= call.route.maxRuns) return lost(result).left()
+                    if (!mayRunAgain(call)) return lost(result).left()
                 }
             }
         }
         return refused(attemptsExhausted(), mayHaveRun).left()
     }
 
+    /** Returns whether [call], which may have run, may be sent to another target; a trial of a suspect crashes one at most. */
+    private fun mayRunAgain(call: RoutedCall): Boolean {
+        if (!call.route.isIdempotent || call.runs >= call.route.maxRuns) return false
+        return !quarantine.hasCrashes || !quarantine.isQuarantined(call.fingerprint)
+    }
+
     /** Reserves the tokens of [call], which has a slot at [target]; gives the slot back and returns why if that fails. */
     private suspend fun reserve(
         call: RoutedCall,
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/CrashEvidence.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/CrashEvidence.kt
@@ -29,7 +29,7 @@
             ranFor.inWholeMilliseconds,
         )
 
-    /** Whether the request was sent to its target when [earlier] was over, so that both crashes have not one cause by chance. */
+    /** Whether the request was sent to its target after the crash of [earlier], so that the two were not one event. */
     fun isSentAfter(earlier: CrashEvidence): Boolean {
         val delay = if (isReported || earlier.isReported) MAX_DETECTION_TIME + MAX_REPORT_TIME else MAX_DETECTION_TIME
         return crashedAt - ranFor > earlier.crashedAt + delay
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/RequestQuarantine.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/RequestQuarantine.kt
@@ -58,6 +58,9 @@
         return if (trials.claim(fingerprint)) null else TRIAL_RETRY
     }
 
+    /** Returns whether the request with [fingerprint] is sent to targets for trials only. */
+    fun isQuarantined(fingerprint: RequestFingerprint): Boolean = untilTrial(fingerprint) != null
+
     /** Returns the time until a trial of the request with [fingerprint], or null if the request is not quarantined. */
     private fun untilTrial(fingerprint: RequestFingerprint): Duration? {
         val crashes = crashesOf(fingerprint)
--- a/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RepeatedInputSpec.kt
+++ b/chestnutloom-integration-tests/src/test/kotlin/org/chestnutloom/integration/edge/RepeatedInputSpec.kt
@@ -28,11 +28,12 @@
         /** Starts a target that stops listening and breaks off its stream when it gets a request. */
         suspend fun crashingTarget(
             id: String,
+            service: String = EdgeFleet.LLM,
             beforeCrash: () -> Unit = {},
         ): ScriptedTarget {
             lateinit var target: ScriptedTarget
             target =
-                fleet.target(id, EdgeFleet.LLM) { request ->
+                fleet.target(id, service) { request ->
                     beforeCrash()
                     runBlocking { target.stop() }
                     ScriptedResponse(streamResponse(request, listOf("x"), isComplete = false).chunks)
@@ -40,6 +41,32 @@
             return target
         }
 
+        describe("an idempotent request that crashes each target") {
+            // Guards against a trial that crashes as many targets as its route allows attempts.
+            it("crashes one target in its first trial") {
+                val caller = fleet.caller()
+                for (id in listOf("e-1", "e-2")) {
+                    val target = crashingTarget(id, EdgeFleet.PLAIN)
+                    eventually {
+                        caller.send("GET", "/plain/1")
+                        target.received.isNotEmpty()
+                    }
+                    fleet.store.remove("servers", id)
+                    delay(500.milliseconds)
+                }
+                caller.send("GET", "/plain/1").status shouldBe 503
+                val later = listOf("e-3", "e-4", "e-5").map { crashingTarget(it, EdgeFleet.PLAIN) }
+                withTimeout(10.seconds) {
+                    eventually {
+                        caller.send("GET", "/plain/1")
+                        later.any { it.received.isNotEmpty() }
+                    }
+                }
+                delay(500.milliseconds)
+                later.sumOf { it.received.size } shouldBe 1
+            }
+        }
+
         describe("requests with the same input at targets that crash for other reasons") {
             // Guards against innocent requests that were refused forever after two crashes that others had caused.
             it("are served, since others with that input run to their end") {
