Order crashes by what the sending gateway knew, not by time

What was seen: in a trial with real processes, an input that crashes whoever runs it, sent for 100 s by new programs at three gateways, crashed 5 targets, 2 of them later than 3 s after the third one.

Cause: a crash that another gateway reports counted as one event with a run that began up to 600 ms after it, since reports take time and clocks differ, so that one crash more was needed for a quarantine.

Change: a request that is sent while its gateway knows of crashes in a row continues the row. Reports carry this order in place of the time that the request ran. Targets that crash together still count once, as no gateway knew of the other crash when it sent the request. No clocks are compared.

Tests: RequestQuarantineSpec has reports between gateways, a crash that is cleared after the next request was sent, and an order out of range; QuarantineFleetSpec and RepeatedInputSpec pass as before.

--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/call/CallDispatcher.kt
@@ -17,7 +17,6 @@
 import org.chestnutloom.edge.target.TargetScheduler
 import org.chestnutloom.edge.target.TargetStage
 import org.chestnutloom.time.Clock
-import kotlin.time.Duration
 
 private val logger = KotlinLogging.logger {}
 
@@ -78,12 +77,12 @@
         target: Target,
     ): AttemptResult {
         call.lastTarget = target.entry.id
-        val startedAt = clock.elapsed()
+        val crashesBefore = if (quarantine.hasCrashes) quarantine.crashesInRow(call.fingerprint) else 0
         var result: AttemptResult? = null
         try {
             listeners.forEach { it.started(call, target) }
             result = attempts.send(call, target) { listeners.forEach { it.responseBegun(call, target) } }
-            recordResult(call, target, result, startedAt)
+            recordResult(call, target, result, crashesBefore)
             return result
         } finally {
             try {
@@ -99,14 +98,14 @@
         call: RoutedCall,
         target: Target,
         result: AttemptResult,
-        startedAt: Duration,
+        crashesBefore: Int,
     ) {
         when (result) {
             is AttemptResult.Responded ->
-                if (result.isComplete) recordSurvival(call) else recordAborted(call, target, startedAt)
+                if (result.isComplete) recordSurvival(call) else recordAborted(call, target, crashesBefore)
             is AttemptResult.Lost -> {
                 logLost(call, target, result.cause)
-                recordAborted(call, target, startedAt)
+                recordAborted(call, target, crashesBefore)
             }
             is AttemptResult.NotRun, is AttemptResult.TimedOut -> Unit
         }
@@ -128,10 +127,10 @@
     private fun recordAborted(
         call: RoutedCall,
         target: Target,
-        startedAt: Duration,
+        crashesBefore: Int,
     ) {
         if (target.isLeaving || target.entry.stage != TargetStage.READY) return
-        quarantine.recordAborted(call.fingerprint, runOf(target.entry), ranFor = clock.elapsed() - startedAt)
+        quarantine.recordAborted(call.fingerprint, runOf(target.entry), crashesBefore)
     }
 
     /**
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/RequestQuarantine.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/crash/RequestQuarantine.kt
@@ -15,11 +15,13 @@
 private val logger = KotlinLogging.logger {}
 
 /**
- * Quarantines requests that crashed targets one after the other and ran without a crash at none; confined to the event loop.
+ * Quarantines requests that crashed targets in a row and ran without a crash at none; confined to the event loop.
  *
  * An aborted response alone does not indicate a crash. It counts as one only if no process listens on the target's port
  * any more. Every request in flight at that moment is suspected, also with the same input at several targets that crash
- * together, which therefore count once. A suspicion is cleared when a request with the same fingerprint runs to its end.
+ * together. Crashes are therefore in a row only if the request of the later one was sent by a gateway that knew of the one
+ * before, which needs no comparison of clocks. A suspicion is cleared when a request with the same fingerprint runs to its
+ * end.
  *
  * A quarantine ends with a trial: after a time, which grows with each further crash, one request at a time is sent, and if
  * it runs to its end all others may follow.
@@ -63,10 +65,10 @@
 
     /** Returns the time until a trial of the request with [fingerprint], or null if the request is not quarantined. */
     private fun untilTrial(fingerprint: RequestFingerprint): Duration? {
-        val crashes = crashesOf(fingerprint)
-        val count = countConsecutive(crashes)
+        val count = crashesInRow(fingerprint)
         if (count < QUARANTINE_CRASHES) return null
-        val trialAt = crashes.maxOf { it.crashedAt } + trialDelay(failedTrials = count - QUARANTINE_CRASHES)
+        val lastCrashAt = crashesOf(fingerprint).maxOf { it.crashedAt }
+        val trialAt = lastCrashAt + trialDelay(failedTrials = count - QUARANTINE_CRASHES)
         return (trialAt - clock.elapsed()).coerceAtLeast(Duration.ZERO)
     }
 
@@ -75,26 +77,29 @@
         return NEXT_TRIAL_DELAY * (1 shl (failedTrials - 1).coerceAtMost(MAX_DOUBLINGS))
     }
 
-    /** Records that [targetRun] aborted the response to the request with [fingerprint], which it had run for [ranFor]. */
+    /** Returns how many crashes in a row are known of the request with [fingerprint], without a run to its end since. */
+    fun crashesInRow(fingerprint: RequestFingerprint): Int {
+        val crashes = crashesOf(fingerprint)
+        // Some of those that preceded the last one may have been cleared meanwhile.
+        return minOf(crashes.size, crashes.maxOfOrNull { it.order } ?: 0)
+    }
+
+    /**
+     * Records that [targetRun] aborted the response to the request with [fingerprint].
+     *
+     * @param crashesBefore what [crashesInRow] returned when the request was sent
+     */
     fun recordAborted(
         fingerprint: RequestFingerprint,
         targetRun: TargetRun,
-        ranFor: Duration,
+        crashesBefore: Int,
     ) {
         val crashedAt = clock.elapsed()
         scope.launch {
             delay(PROBE_DELAY)
             if (!probe.isDown(targetRun)) return@launch
-            put(
-                CrashEvidence(
-                    fingerprint,
-                    targetRun.name,
-                    crashedAt,
-                    ranFor,
-                    isCleared = false,
-                    isReported = false,
-                ),
-            )
+            val order = crashesBefore + 1
+            put(CrashEvidence(fingerprint, targetRun.name, crashedAt, order, isCleared = false))
         }
     }
 
@@ -119,9 +124,8 @@
         RequestFingerprint(report.fingerprint),
         report.crash,
         crashedAt,
-        report.ranMs.coerceIn(0, REPORT_PERIOD.inWholeMilliseconds).milliseconds,
+        report.order.coerceIn(1, MAX_EVIDENCE),
         report.isCleared,
-        isReported = true,
     )
 
     private fun isRecent(report: CrashReport): Boolean = report.ageMs in 0 until REPORT_PERIOD.inWholeMilliseconds
@@ -165,9 +169,9 @@
             if (changed.isCleared) "crash_cleared" else "target_crashed",
             "run" to changed.crash,
             "fingerprint" to changed.fingerprint.value,
-            "ran_ms" to changed.ranFor.inWholeMilliseconds,
+            "order" to changed.order,
             "crashes" to crashesOf(changed.fingerprint).size,
-            "consecutive" to countConsecutive(crashesOf(changed.fingerprint)),
+            "in_a_row" to crashesInRow(changed.fingerprint),
             "quarantine_ms" to (untilTrial(changed.fingerprint)?.inWholeMilliseconds ?: 0),
         )
     }
@@ -181,7 +185,7 @@
         /** The time after which the port of a crashed target is closed. */
         private val PROBE_DELAY = 50.milliseconds
 
-        /** The number of consecutive crashes, without a run to the end since, from which a request is quarantined. */
+        /** The number of crashes in a row, without a run to the end since, from which a request is quarantined. */
         private const val QUARANTINE_CRASHES = 2
 
         /** The first trial comes soon, since most requests that were in flight at two crashes have caused neither. */
--- a/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/CrashReport.kt
+++ b/chestnutloom-edge/src/main/kotlin/org/chestnutloom/edge/fleet/CrashReport.kt
@@ -10,7 +10,8 @@
  * @property ageMs the time since the crash; a report ends at a maximum age, wherever it is relayed
  * @property isCleared whether a request with the fingerprint has since run without a crash, so that the crash no longer
  *   counts against it
- * @property ranMs how long the request had run at the target; 0 in reports of earlier builds
+ * @property order one more than the number of crashes in a row that the sender of the request knew of when it sent it; 1 in
+ *   reports of earlier builds
  */
 @Serializable
 public data class CrashReport(
@@ -18,5 +19,5 @@
     public val crash: String,
     public val ageMs: Long,
     public val isCleared: Boolean,
-    public val ranMs: Long = 0,
+    public val order: Int = 1,
 )
