Split the tests of quarantines and of the budget model

CrashReportsSpec has the tests of reports between gateways, QuarantineScenario what both use, BudgetEvent the events and ModelStore the store of the model.

--- a/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetModel.kt
+++ b/chestnutloom-edge/src/test/kotlin/org/chestnutloom/edge/budget/BudgetModel.kt
@@ -1,8 +1,5 @@
 package org.chestnutloom.edge.budget
 
-import arrow.core.Either
-import arrow.core.left
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
@@ -12,127 +9,14 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.UnconfinedTestDispatcher
 import org.chestnutloom.call.RefusalCode
-import org.chestnutloom.edge.store.ChangeFailure
 import org.chestnutloom.edge.store.InMemoryRowStore
-import org.chestnutloom.edge.store.RowChange
-import org.chestnutloom.edge.store.RowStore
 import org.chestnutloom.id.CallId
 import org.chestnutloom.id.GatewayId
 import org.chestnutloom.id.Incarnation
 import org.chestnutloom.id.ProgramId
-import org.chestnutloom.store.StoreFailure
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** What happens to a fleet in a [BudgetModel]; events at gateways name them by index. */
-internal sealed interface BudgetEvent {
-    /** A caller sends a turn, which is stored at its end if [isRetained]. */
-    data class Begin(
-        val gateway: Int,
-        val isRetained: Boolean,
-    ) : BudgetEvent
-
-    /** A caller sends a turn that will be stored; once its tokens are claimed it waits for [Send]. */
-    data class Claim(
-        val gateway: Int,
-    ) : BudgetEvent
-
-    /** The oldest turn whose tokens are claimed is sent to a target. */
-    data class Send(
-        val gateway: Int,
-    ) : BudgetEvent
-
-    /** The oldest turn in progress ends whole. */
-    data class End(
-        val gateway: Int,
-    ) : BudgetEvent
-
-    /** The oldest turn in progress breaks off. */
-    data class Break(
-        val gateway: Int,
-    ) : BudgetEvent
-
-    /** The caller of the last turn that is not admitted yet leaves. */
-    data class Leave(
-        val gateway: Int,
-    ) : BudgetEvent
-
-    /** The gateway is killed and starts again. */
-    data class Kill(
-        val gateway: Int,
-    ) : BudgetEvent
-
-    /** The gateway is paused, or continues; while it is paused it is taken for gone if [isUnregistered]. */
-    data class Pause(
-        val gateway: Int,
-        val isUnregistered: Boolean,
-    ) : BudgetEvent
-
-    /** Another program replaces this one in the gateway's memory. */
-    data class Evict(
-        val gateway: Int,
-    ) : BudgetEvent
-
-    /** How the store handles changes from now on. */
-    data class Store(
-        val mode: StoreMode,
-    ) : BudgetEvent
-
-    /** The store applies the changes that it holds, if their conditions still hold. */
-    data object ApplyHeld : BudgetEvent
-}
-
-/** How the store of a [BudgetModel] handles changes. */
-internal enum class StoreMode {
-    SOUND,
-    UNAVAILABLE,
-
-    /** Changes are applied, and their responses are lost. */
-    LOSING_RESPONSES,
-
-    /** Changes get no response, and are applied later. */
-    LATE,
-
-    /** Changes are applied and answered later. */
-    SLOW,
-}
-
-/** A store that can hold changes back. */
-private class ModelStore(
-    private val store: InMemoryRowStore,
-) : RowStore by store {
-    var mode = StoreMode.SOUND
-    private val held = ArrayList<suspend () -> Unit>()
-
-    override suspend fun change(change: RowChange): Either<ChangeFailure, Long> {
-        store.isUnavailable = mode == StoreMode.UNAVAILABLE
-        store.losesNextResponse = mode == StoreMode.LOSING_RESPONSES
-        return when (mode) {
-            StoreMode.LATE -> ChangeFailure.Failed(NO_RESPONSE).left().also { held += { store.change(change) } }
-            StoreMode.SLOW -> answerLater(change)
-            else -> store.change(change)
-        }
-    }
-
-    private suspend fun answerLater(change: RowChange): Either<ChangeFailure, Long> {
-        val answer = CompletableDeferred<Either<ChangeFailure, Long>>()
-        held += { answer.complete(store.change(change)) }
-        return answer.await()
-    }
-
-    suspend fun applyHeld() {
-        store.isUnavailable = false
-        store.losesNextResponse = false
-        val changes = held.toList()
-        held.clear()
-        changes.forEach { it() }
-    }
-
-    private companion object {
-        private val NO_RESPONSE = StoreFailure.OutcomeUnknown("no response")
-    }
-}
-
 /**
  * Gateways that serve turns of one program, with what callers have got.
  *
